--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Targets for building, testing and trying basillift. Only Go and make are needed.
+MESH ?= bindery
+TOOLS := $(CURDIR)/.tools/bin
+MODULES := basillift basilliftd basilliftctl basilliftlab
+
+.PHONY: build demo test lint fmt generate tools
+
+build: ## Builds the three programs into bin/.
+	go build -o bin/ ./basilliftd ./basilliftctl ./basilliftlab
+
+demo: build ## Runs a mesh of real processes on loopback and checks the promises from the callers' side.
+	bin/basilliftlab demo --mesh $(MESH) --bin bin
+
+test: ## Runs all tests with the race detector.
+	go test -race $(MODULES:%=./%/...)
+
+lint: $(TOOLS)/golangci-lint ## Checks style with the pinned linter.
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+
+fmt: $(TOOLS)/golangci-lint ## Formats all Go files.
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
+
+generate: ## Generates Go types from schema/; the results are committed.
+	go generate ./basillift/...
+
+tools: $(TOOLS)/golangci-lint
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
--- /dev/null
+++ b/basillift/platform.go
@@ -0,0 +1,54 @@
+package basillift
+
+import "context"
+
+// Value is what the platform holds under a key at one time.
+type Value struct {
+	key   string
+	data  []byte
+	mod   uint64
+	store uint64
+}
+
+// NewValue returns a value. Mod is the store revision that last changed the key, and
+// store is the store's revision at the time of the read.
+func NewValue(key string, data []byte, mod, store uint64) Value {
+	return Value{key: key, data: data, mod: mod, store: store}
+}
+
+// Key is the key that was read.
+func (v Value) Key() string { return v.key }
+
+// Data is the value's bytes. The caller must not change them.
+func (v Value) Data() []byte { return v.data }
+
+// Mod is the store revision that last changed the key.
+func (v Value) Mod() uint64 { return v.mod }
+
+// Store is the store's revision at the time of the read.
+func (v Value) Store() uint64 { return v.store }
+
+// Platform can be read and watched, never written. Each call counts against the
+// read budget that all readers share; a waiting watch counts as one call.
+type Platform interface {
+	// Read returns ErrNotFound for a key without a value.
+	Read(ctx context.Context, key string) (Value, error)
+	// Watch returns when the key's mod differs from the given one, or with the
+	// unchanged value when the platform ends the wait.
+	Watch(ctx context.Context, key string, mod uint64) (Value, error)
+}
+
+// The keys of the platform that basillift reads.
+const (
+	KeyCustomers = "customers"
+	KeyPlans     = "plans"
+	KeyVMs       = "vms"
+)
+
+// Peers sends control messages to other daemons by VM id.
+type Peers interface {
+	// Call sends a request and decodes the answer into result.
+	Call(ctx context.Context, to VMID, method string, params, result any) error
+	// Notify queues a message that has no answer; a full queue drops and counts it.
+	Notify(to VMID, method string, params any)
+}
--- /dev/null
+++ b/basilliftctl/main.go
@@ -0,0 +1,4 @@
+// Command basilliftctl is part of basillift.
+package main
+
+func main() {}
--- /dev/null
+++ b/basilliftd/main.go
@@ -0,0 +1,4 @@
+// Command basilliftd is part of basillift.
+package main
+
+func main() {}
--- /dev/null
+++ b/basilliftlab/main.go
@@ -0,0 +1,4 @@
+// Command basilliftlab is part of basillift.
+package main
+
+func main() {}
