--- /dev/null
+++ b/basillift/blconfig/holder_test.go
@@ -0,0 +1,78 @@
+package blconfig
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllist"
+)
+
+// snapshot builds a version of three services and two plans out of the given customers.
+func snapshot(t testing.TB, revision uint64, customers map[string]string) *Snapshot {
+	t.Helper()
+	plans := []basillift.Plan{
+		basillift.NewPlan("basic", []string{"catalogue"}, 200, 50, ""),
+		basillift.NewPlan("full", []string{"catalogue", "reservations", "gallery"}, 0, 0, basillift.ClassUrgent),
+	}
+	var list []bllist.Customer
+	for c, p := range customers {
+		list = append(list, bllist.NewCustomer(c, p))
+	}
+	services := []string{"catalogue", "reservations", "gallery"}
+	s, err := Build(basillift.NewVersion(1, revision), bllist.NewLists(1, services, plans, list))
+	is.New(t).NoErr(err)
+	return s
+}
+
+// Guards against a daemon that goes back to an older version or swaps the
+// content of the version that it holds.
+func TestOffer(t *testing.T) {
+	start := time.Unix(1000, 0)
+	one := map[string]string{"kobuleti": "basic"}
+	two := map[string]string{"kobuleti": "full"}
+	cases := []struct {
+		name   string
+		offers []*Snapshot
+		want   Decision
+	}{
+		{"first", []*Snapshot{snapshot(t, 5, one)}, DecisionAdopt},
+		{"newer", []*Snapshot{snapshot(t, 5, one), snapshot(t, 6, two)}, DecisionAdopt},
+		{"older", []*Snapshot{snapshot(t, 5, one), snapshot(t, 4, two)}, DecisionOlder},
+		{"equal", []*Snapshot{snapshot(t, 5, one), snapshot(t, 5, one)}, DecisionEqual},
+		{"conflict", []*Snapshot{snapshot(t, 5, one), snapshot(t, 5, two)}, DecisionConflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := NewHolder()
+			var got Decision
+			for _, s := range c.offers {
+				got = h.Offer(start, s)
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
+
+// Guards against a delta or a full transfer that changes content on its way.
+func TestTransfer(t *testing.T) {
+	is := is.New(t)
+	from := snapshot(t, 5, map[string]string{"kobuleti": "basic", "batumi": "basic"})
+	to := snapshot(t, 6, map[string]string{"kobuleti": "full", "poti": "basic"})
+
+	data, err := EncodeDelta(Diff(from, to))
+	is.NoErr(err)
+	d, err := DecodeDelta(data)
+	is.NoErr(err)
+	applied, err := from.Apply(d)
+	is.NoErr(err)
+	is.Equal(applied.Digest(), to.Digest())
+
+	full, err := EncodeFull(to)
+	is.NoErr(err)
+	decoded, err := DecodeFull(full)
+	is.NoErr(err)
+	is.Equal(Diff(decoded, applied).Changes(), 0)
+}
--- /dev/null
+++ b/basillift/bllist/split.go
@@ -0,0 +1,153 @@
+package bllist
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"basillift.dev/basillift"
+)
+
+// Entry is a value to be written to the platform.
+type Entry struct {
+	key  string
+	data []byte
+}
+
+// Key is the platform's key.
+func (e Entry) Key() string { return e.key }
+
+// Data is the value. The caller must not change it.
+func (e Entry) Data() []byte { return e.data }
+
+// Split returns the values of both lists, none above limit bytes, in the order
+// in which they must be written: parts before their index, so that a reader
+// never finds an index whose parts were not written yet.
+func Split(l Lists, limit int) ([]Entry, error) {
+	plans, err := splitPlans(l, limit)
+	if err != nil {
+		return nil, fmt.Errorf("split plans: %w", err)
+	}
+	customers, err := splitCustomers(l, limit)
+	if err != nil {
+		return nil, fmt.Errorf("split customers: %w", err)
+	}
+	return append(plans, customers...), nil
+}
+
+func splitCustomers(l Lists, limit int) ([]Entry, error) {
+	epoch := int(l.epoch)
+	items := make([]json.RawMessage, 0, len(l.customers))
+	for _, c := range l.customers {
+		items = append(items, mustEncode(CustomerEntry{Name: c.name, Plan: c.plan}))
+	}
+	groups, err := group(items, limit)
+	if err != nil {
+		return nil, fmt.Errorf("group customers: %w", err)
+	}
+	if len(groups) == 1 {
+		list := CustomerList{Epoch: epoch, Customers: customerEntries(l.customers)}
+		return []Entry{{key: basillift.KeyCustomers, data: mustEncode(list)}}, nil
+	}
+	var entries []Entry
+	var hashes []string
+	first := 0
+	for i, n := range groups {
+		data := mustEncode(CustomerList{Epoch: epoch, Customers: customerEntries(l.customers[first : first+n])})
+		first += n
+		entries = append(entries, Entry{key: PartKey(basillift.KeyCustomers, i+1), data: data})
+		hashes = append(hashes, Hash(data))
+	}
+	index := mustEncode(CustomerList{Epoch: epoch, Parts: hashes})
+	return append(entries, Entry{key: basillift.KeyCustomers, data: index}), nil
+}
+
+func splitPlans(l Lists, limit int) ([]Entry, error) {
+	epoch := int(l.epoch)
+	services := mustEncode(l.services)
+	items := make([]json.RawMessage, 0, len(l.plans)+1)
+	items = append(items, services)
+	for _, p := range l.plans {
+		items = append(items, mustEncode(planEntry(p)))
+	}
+	groups, err := group(items, limit)
+	if err != nil {
+		return nil, fmt.Errorf("group plans: %w", err)
+	}
+	if len(groups) == 1 {
+		list := PlanList{Epoch: epoch, Services: l.services, Plans: planEntries(l.plans)}
+		return []Entry{{key: basillift.KeyPlans, data: mustEncode(list)}}, nil
+	}
+	var entries []Entry
+	var hashes []string
+	first := -1 // The services come before the first plan.
+	for i, n := range groups {
+		list := PlanList{Epoch: epoch, Plans: planEntries(l.plans[max(first, 0) : first+n])}
+		if i == 0 {
+			list.Services = l.services
+		}
+		first += n
+		data := mustEncode(list)
+		entries = append(entries, Entry{key: PartKey(basillift.KeyPlans, i+1), data: data})
+		hashes = append(hashes, Hash(data))
+	}
+	index := mustEncode(PlanList{Epoch: epoch, Parts: hashes})
+	return append(entries, Entry{key: basillift.KeyPlans, data: index}), nil
+}
+
+// group returns how many consecutive items go into each value.
+func group(items []json.RawMessage, limit int) ([]int, error) {
+	const frame = 96 // covers the epoch, the field names and the brackets of a list
+	var groups []int
+	size, count := frame, 0
+	for _, m := range items {
+		if len(m)+1+frame > limit {
+			return nil, eris.Errorf("an entry of %d bytes does not fit in a value of %d bytes", len(m), limit)
+		}
+		if size+len(m)+1 > limit {
+			groups = append(groups, count)
+			size, count = frame, 0
+		}
+		size += len(m) + 1
+		count++
+	}
+	groups = append(groups, count)
+	if len(groups) > MaxParts {
+		return nil, eris.Errorf("the list needs %d parts, at most %d are allowed", len(groups), MaxParts)
+	}
+	return groups, nil
+}
+
+func customerEntries(customers []Customer) []CustomerEntry {
+	entries := make([]CustomerEntry, 0, len(customers))
+	for _, c := range customers {
+		entries = append(entries, CustomerEntry{Name: c.name, Plan: c.plan})
+	}
+	return entries
+}
+
+func planEntries(plans []basillift.Plan) []PlanEntry {
+	entries := make([]PlanEntry, 0, len(plans))
+	for _, p := range plans {
+		entries = append(entries, planEntry(p))
+	}
+	return entries
+}
+
+func planEntry(p basillift.Plan) PlanEntry {
+	return PlanEntry{
+		Name: p.Name(), Services: p.Services(), Rate: p.Rate(),
+		Concurrency: p.Concurrency(), Class: string(p.Class()),
+	}
+}
+
+// mustEncode encodes a value of the generated types, which hold only texts and
+// numbers, so that encoding cannot fail.
+func mustEncode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
