--- a/basillift/blmember/domain.go
+++ b/basillift/blmember/domain.go
@@ -1,6 +1,8 @@
 package blmember
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"basillift.dev/basillift"
@@ -29,10 +31,10 @@
 			return nil
 		}
 	}
-	if d.cut {
+	if d.cut && now.Sub(d.renewed) < retryInterval {
 		return nil
 	}
-	return s.setCut(d, NewDomainClaim(ClaimCut, fd, uint64(max(now.UnixMilli(), 0))))
+	return s.claimDomain(now, ClaimCut, fd)
 }
 
 // reached notes that a member of a failure domain answered.
@@ -45,18 +47,19 @@
 	if !d.cut {
 		return nil
 	}
-	return s.setCut(d, NewDomainClaim(ClaimRejoined, fd, max(uint64(max(now.UnixMilli(), 0)), d.revision+1)))
+	return s.claimDomain(now, ClaimRejoined, fd)
 }
 
-func (s *State) setCut(d *domainState, c Claim) []Action {
+func (s *State) claimDomain(now time.Time, k ClaimKind, fd basillift.FailureDomain) []Action {
 	n := &news{}
-	s.takeDomainClaim(c, n)
+	revision := max(uint64(max(now.UnixMilli(), 0)), s.domainState(fd).revision+1)
+	s.takeDomainClaim(now, NewDomainClaim(k, fd, revision), n)
 	return n.flood("")
 }
 
 // takeDomainClaim believes what a head says of another failure domain, and nothing that
 // others say of the daemon's own.
-func (s *State) takeDomainClaim(c Claim, n *news) {
+func (s *State) takeDomainClaim(now time.Time, c Claim, n *news) {
 	if c.domain == s.domain() {
 		return
 	}
@@ -64,17 +67,31 @@
 	if c.revision <= d.revision {
 		return
 	}
-	d.revision = c.revision
-	cut := c.kind == ClaimCut
+	d.revision, d.renewed = c.revision, now
+	n.claims = append(n.claims, c)
+	s.setCut(c.domain, c.kind == ClaimCut, n)
+}
+
+func (s *State) setCut(fd basillift.FailureDomain, cut bool, n *news) {
+	d := s.domainState(fd)
 	if d.cut == cut {
 		return
 	}
 	d.cut = cut
 	s.generation++
-	n.claims = append(n.claims, c)
-	kind, detail := basillift.EventMemberReturned, "failure domain "+string(c.domain)+" reachable again"
+	kind, detail := basillift.EventMemberReturned, "failure domain "+string(fd)+" reachable again"
 	if cut {
-		kind, detail = basillift.EventMemberSuspected, "failure domain "+string(c.domain)+" cut off"
+		kind, detail = basillift.EventMemberSuspected, "failure domain "+string(fd)+" cut off"
 	}
 	n.report("", kind, "", detail)
 }
+
+// expireCut forgets a cut that no head renewed. Heads renew it while it lasts, so that a
+// member that missed the end of it does not believe in it for ever.
+func (s *State) expireCut(now time.Time, n *news) {
+	for _, fd := range slices.Sorted(maps.Keys(s.domains)) {
+		if d := s.domains[fd]; d.cut && now.Sub(d.renewed) >= cutTime {
+			s.setCut(fd, false, n)
+		}
+	}
+}
--- a/basillift/blmember/event.go
+++ b/basillift/blmember/event.go
@@ -80,6 +80,7 @@
 	eventListed    eventKind = "listed"
 	eventState     eventKind = "state"
 	eventChecked   eventKind = "checked"
+	eventLost      eventKind = "lost"
 )
 
 // Event is an observation.
@@ -124,6 +125,10 @@
 // Contacted says that a peer sent a probe, so that it can at least send.
 func Contacted(peer basillift.VMID) Event { return Event{kind: eventContacted, peer: peer} }
 
+// Disconnected says that the last connection to a peer broke. A process that dies breaks
+// its connections at once, so a probed peer is probed again without waiting for its turn.
+func Disconnected(peer basillift.VMID) Event { return Event{kind: eventLost, peer: peer} }
+
 // VMsListed says what the platform's VM list holds at a revision.
 func VMsListed(list []Listed, revision uint64) Event {
 	return Event{kind: eventListed, listed: list, revision: revision}
--- a/basillift/blmember/probe.go
+++ b/basillift/blmember/probe.go
@@ -45,6 +45,7 @@
 // others run the same timer.
 func (s *State) expire(now time.Time) []Action {
 	n := &news{}
+	s.expireCut(now, n)
 	for _, id := range s.ids() {
 		t := s.entries[id]
 		if t.liveness != basillift.LivenessSuspect || now.Sub(t.since) < suspectTime {
@@ -67,6 +68,13 @@
 	return s.probeAll(peers)
 }
 
+func (s *State) disconnected(peer basillift.VMID) []Action {
+	if !slices.Contains(s.Order().Successors(s.self, probedSuccessors), peer) {
+		return nil
+	}
+	return s.probeAll([]basillift.VMID{peer})
+}
+
 func (s *State) probeAll(peers []basillift.VMID) []Action {
 	var actions []Action
 	for _, id := range peers {
--- a/basillift/blmember/receive.go
+++ b/basillift/blmember/receive.go
@@ -87,7 +87,7 @@
 func (s *State) takeClaim(now time.Time, c Claim, n *news) {
 	switch {
 	case c.domain != "":
-		s.takeDomainClaim(c, n)
+		s.takeDomainClaim(now, c, n)
 	case c.kind == ClaimSuspect || c.kind == ClaimDead:
 		s.takeAccusation(now, c, n)
 	case c.kind == ClaimLeaving || c.kind == ClaimStaying:
--- a/basillift/blmember/state.go
+++ b/basillift/blmember/state.go
@@ -36,6 +36,9 @@
 	// cutProbes is the number of members of another failure domain that must all fail
 	// before the domain counts as cut off.
 	cutProbes = 3
+	// cutTime is how long a cut is believed that no head renews; heads renew it every
+	// retryInterval.
+	cutTime = 3 * retryInterval
 )
 
 type entry struct {
@@ -60,6 +63,7 @@
 	failed   map[basillift.VMID]bool
 	cut      bool
 	revision uint64
+	renewed  time.Time
 }
 
 // State is one daemon's membership.
@@ -154,6 +158,8 @@
 		return s.contact(now, e.peer)
 	case eventListed:
 		return s.listed(now, e)
+	case eventLost:
+		return s.disconnected(e.peer)
 	case eventState:
 		return s.changeState(now, e.state)
 	default:
--- a/basillift/blrelay/event.go
+++ b/basillift/blrelay/event.go
@@ -28,6 +28,7 @@
 	eventRejected  eventKind = "rejected"
 	eventFailed    eventKind = "failed"
 	eventLost      eventKind = "lost"
+	eventFetched   eventKind = "fetched"
 	eventRequested eventKind = "requested"
 	eventTick      eventKind = "tick"
 )
@@ -72,6 +73,9 @@
 	return Event{kind: eventFailed, peer: peer, retry: retry}
 }
 
+// Fetched says that a fetch ended and what it gave was offered.
+func Fetched(peer basillift.VMID) Event { return Event{kind: eventFetched, peer: peer} }
+
 // Lost says that the connection to a peer broke, so that what was sent last may not have arrived.
 func Lost(peer basillift.VMID) Event { return Event{kind: eventLost, peer: peer} }
 
--- /dev/null
+++ b/basillift/blrelay/explore_test.go
@@ -0,0 +1,290 @@
+package blrelay
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// message is one thing in flight. Messages are delivered in any order.
+type message struct {
+	kind     string
+	from, to int
+	base     basillift.Version
+	version  basillift.Version
+}
+
+// model is three daemons and what is in flight between them.
+type model struct {
+	ids     []basillift.VMID
+	order   *Order
+	states  []*State
+	flight  []message
+	reads   []message
+	crashes int
+	now     time.Time
+	failure string
+}
+
+func exploreIDs() []basillift.VMID { return []basillift.VMID{"a-0", "a-1", "a-2"} }
+
+func newModel(reads []message, crashes int) *model {
+	var members []basillift.Member
+	for _, id := range exploreIDs() {
+		members = append(members, testMember(id, "a"))
+	}
+	o := NewOrder(members)
+	m := &model{ids: o.Domain("a"), order: o, reads: reads, crashes: crashes, now: time.Unix(1000, 0)}
+	for i := range m.ids {
+		m.states = append(m.states, m.fresh(i))
+	}
+	return m
+}
+
+func testMember(id basillift.VMID, fd basillift.FailureDomain) basillift.Member {
+	return basillift.NewMember(id, 1, basillift.NewAddresses(string(id), "", ""), basillift.NewPlace(fd, "r"), "s", 1)
+}
+
+func (m *model) fresh(i int) *State {
+	s := NewState(m.ids[i], rand.New(rand.NewSource(1)))
+	s.Apply(m.now, Arranged(m.order))
+	return s
+}
+
+func (m *model) clone() *model {
+	c := *m
+	c.flight = slices.Clone(m.flight)
+	c.reads = slices.Clone(m.reads)
+	c.states = nil
+	for _, s := range m.states {
+		d := *s
+		d.random = rand.New(rand.NewSource(1))
+		d.known = maps.Clone(s.known)
+		d.blocked = maps.Clone(s.blocked)
+		c.states = append(c.states, &d)
+	}
+	return &c
+}
+
+// key identifies a state of the model, so that each is explored once.
+func (m *model) key() string {
+	b := make([]byte, 0, 256)
+	for _, s := range m.states {
+		b = append(b, byte(s.held.Revision()), byte(m.index(s.fetching)), byte(s.wanted.Revision()), byte(len(s.blocked)))
+		b = strconv.AppendBool(b, s.full)
+		for _, id := range m.ids {
+			v, found := s.known[id]
+			b = append(strconv.AppendBool(b, found), byte(v.Revision()))
+		}
+	}
+	flight := make([]string, 0, len(m.flight))
+	for _, f := range m.flight {
+		flight = append(flight, f.kind+string([]byte{byte(f.from), byte(f.to), byte(f.base.Revision()), byte(f.version.Revision())}))
+	}
+	slices.Sort(flight)
+	for _, f := range flight {
+		b = append(b, f...)
+	}
+	return string(append(b, '|', byte(len(m.reads)), byte(m.crashes), m.readKey()))
+}
+
+// readKey tells which of the reads are left.
+func (m *model) readKey() byte {
+	key := byte(0)
+	for _, r := range m.reads {
+		key = key*16 + byte(r.to)*4 + byte(r.version.Revision())
+	}
+	return key
+}
+
+func (m *model) index(id basillift.VMID) int { return slices.Index(m.ids, id) }
+
+func (m *model) apply(i int, e Event) {
+	before := m.states[i].held
+	m.perform(i, m.states[i].Apply(m.now, e))
+	if before.NewerThan(m.states[i].held) {
+		m.failure = fmt.Sprintf("%s went back from %s to %s", m.ids[i], before, m.states[i].held)
+	}
+}
+
+func (m *model) perform(i int, actions []Action) {
+	for _, a := range actions {
+		next := message{kind: string(a.Kind()), from: i, to: m.index(a.Peer()), base: a.From(), version: a.Version()}
+		if a.Kind() == ActionApply {
+			if a.From() != m.states[i].held {
+				m.failure = fmt.Sprintf("%s applies a delta from %s to version %s", m.ids[i], a.From(), m.states[i].held)
+			}
+			m.take(i, m.index(a.Peer()), a.Version())
+			continue
+		}
+		m.flight = append(m.flight, next)
+	}
+}
+
+// take offers a version without the check that blconfig.Holder makes as well, so that the
+// relay's own is tested.
+func (m *model) take(i, from int, v basillift.Version) {
+	peer := basillift.VMID("")
+	if from >= 0 {
+		peer = m.ids[from]
+	}
+	m.apply(i, Adopted(peer, v))
+}
+
+func (m *model) deliver(f message) {
+	peer, held := m.ids[f.from], m.states[f.to].held
+	switch f.kind {
+	case "push":
+		m.apply(f.to, Pushed(peer, f.base, f.version))
+	case "announce":
+		m.apply(f.to, Heard(peer, f.version, CauseAnnounce))
+	case "probe":
+		m.flight = append(m.flight, message{kind: "probed", from: f.to, to: f.from, version: held})
+		m.apply(f.to, Heard(peer, f.version, CauseProbe))
+	case "probed":
+		m.apply(f.to, Heard(peer, f.version, CauseProbe))
+	case "fetch":
+		m.flight = append(m.flight, message{kind: "fetched", from: f.to, to: f.from, base: f.base, version: held})
+		m.apply(f.to, Requested(peer, f.base))
+	case "fetched":
+		if !f.version.NewerThan(f.base) {
+			m.apply(f.to, FetchFailed(peer, 0))
+			return
+		}
+		m.take(f.to, f.from, f.version)
+		m.apply(f.to, Fetched(peer))
+	case "lost":
+		m.apply(f.to, Lost(peer))
+	case "failed":
+		m.apply(f.to, FetchFailed(peer, 0))
+	}
+}
+
+// crash restarts a daemon with nothing. What is in flight to it is lost; the others learn
+// that at any later time, and so do those that wait for its answer.
+func (m *model) crash(i int) {
+	m.crashes--
+	var kept []message
+	for _, f := range m.flight {
+		switch {
+		case f.to == i && f.kind == "fetch":
+			kept = append(kept, message{kind: "failed", from: i, to: f.from})
+		case f.to == i:
+		case f.from == i && f.kind == "fetched":
+			kept = append(kept, message{kind: "failed", from: i, to: f.to})
+		default:
+			kept = append(kept, f)
+		}
+	}
+	m.flight = kept
+	m.states[i] = m.fresh(i)
+	for j := range m.states {
+		if j != i {
+			m.flight = append(m.flight, message{kind: "lost", from: i, to: j})
+		}
+	}
+}
+
+// next returns all states that follow.
+func (m *model) next() []*model {
+	var all []*model
+	for k, f := range m.flight {
+		c := m.clone()
+		c.flight = slices.Delete(c.flight, k, k+1)
+		c.deliver(f)
+		all = append(all, c)
+	}
+	for k, r := range m.reads {
+		c := m.clone()
+		c.reads = slices.Delete(c.reads, k, k+1)
+		c.take(r.to, -1, r.version)
+		all = append(all, c)
+	}
+	if m.crashes > 0 {
+		for i := range m.states {
+			c := m.clone()
+			c.crash(i)
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// settle lets probes repair what was lost, as they do every second, and reports whether
+// all daemons hold the newest version that any of them holds after 3 s.
+func (m *model) settle() string {
+	c := m.clone()
+	for range 3 {
+		c.now = c.now.Add(time.Second)
+		for i := range c.states {
+			c.apply(i, Tick())
+			next := c.index(c.order.Successors(c.ids[i], 1)[0])
+			c.flight = append(c.flight, message{kind: "probe", from: i, to: next, version: c.states[i].held})
+		}
+		for len(c.flight) > 0 {
+			f := c.flight[0]
+			c.flight = c.flight[1:]
+			c.deliver(f)
+		}
+	}
+	newest := basillift.Version{}
+	for _, s := range c.states {
+		newest = newer(newest, s.held)
+	}
+	for i, s := range c.states {
+		if s.held != newest {
+			return fmt.Sprintf("%s holds %s, newest is %s", c.ids[i], s.held, newest)
+		}
+	}
+	return c.failure
+}
+
+func explore(t *testing.T, start *model) int {
+	t.Helper()
+	seen := map[string]bool{start.key(): true}
+	stack := []*model{start}
+	for len(stack) > 0 {
+		m := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		if m.failure != "" {
+			t.Fatal(m.failure)
+		}
+		following := m.next()
+		if len(m.flight) == 0 {
+			if problem := m.settle(); problem != "" {
+				t.Fatalf("after quiescence: %s", problem)
+			}
+		}
+		for _, c := range following {
+			if k := c.key(); !seen[k] {
+				seen[k] = true
+				stack = append(stack, c)
+			}
+		}
+	}
+	return len(seen)
+}
+
+// Guards against any order of messages that moves a daemon back or leaves one behind:
+// all orders of two versions, read by either reader, with one crash at any moment.
+func TestAllOrders(t *testing.T) {
+	first, second := basillift.NewVersion(1, 1), basillift.NewVersion(1, 2)
+	read := func(reader int, v basillift.Version) message { return message{kind: "read", to: reader, version: v} }
+	cases := map[string][]message{
+		"both from the head":         {read(0, first), read(0, second)},
+		"one from each reader":       {read(0, first), read(1, second)},
+		"second version at the head": {read(1, first), read(0, second)},
+		"both from the other reader": {read(1, first), read(1, second)},
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		t.Run(name, func(t *testing.T) {
+			t.Logf("%d states", explore(t, newModel(cases[name], 1)))
+		})
+	}
+}
--- a/basillift/blrelay/join.go
+++ b/basillift/blrelay/join.go
@@ -8,17 +8,21 @@
 )
 
 const (
-	// joinPeers is how many peers are asked before a version from the platform is
-	// adopted. The platform may answer an older version than the mesh holds.
+	// joinPeers is how many peers that hold a version are asked before a version from the
+	// platform is adopted. The platform may answer an older version than the mesh holds.
 	joinPeers = 2
 	// joinWait ends the wait for peers, so that a daemon without peers starts too.
 	joinWait = 3 * time.Second
+	// joinEmpty is the shortest wait when all known members answered that they hold
+	// nothing: daemons that restart together know few others at first.
+	joinEmpty = time.Second
 )
 
 // Join is the progress of a daemon that starts. The zero value is not usable.
 type Join struct {
 	started time.Time
 	answers map[basillift.VMID]basillift.Version
+	members int
 	ready   bool
 }
 
@@ -37,16 +41,32 @@
 // Unreachable forgets a peer that can no longer be reached.
 func (j *Join) Unreachable(peer basillift.VMID) { delete(j.answers, peer) }
 
-// MayAdoptFromPlatform reports whether enough peers answered or the wait is over, and
-// no reachable peer holds a newer version than the one that the platform gave.
-func (j *Join) MayAdoptFromPlatform(now time.Time, v basillift.Version) bool {
-	if j.ready {
+// Known sets how many other members are known to be alive.
+func (j *Join) Known(members int) { j.members = members }
+
+// Asked reports whether enough peers answered or the wait for them is over. Peers that
+// hold nothing count only when all known members answered: they may be starting as well,
+// while others that were not asked hold a newer version than the platform.
+func (j *Join) Asked(now time.Time) bool {
+	if j.ready || now.Sub(j.started) >= joinWait {
 		return true
 	}
-	if len(j.answers) < joinPeers && now.Sub(j.started) < joinWait {
-		return false
+	holding := 0
+	for _, v := range j.answers {
+		if !v.IsZero() {
+			holding++
+		}
 	}
-	return v.Compare(j.newest()) >= 0
+	if holding >= joinPeers {
+		return true
+	}
+	return len(j.answers) >= max(j.members, joinPeers) && now.Sub(j.started) >= joinEmpty
+}
+
+// MayAdoptFromPlatform reports whether enough peers were asked and no reachable one holds
+// a newer version than the one that the platform gave.
+func (j *Join) MayAdoptFromPlatform(now time.Time, v basillift.Version) bool {
+	return j.ready || j.Asked(now) && v.Compare(j.newest()) >= 0
 }
 
 // Ready reports whether the daemon may serve calls: it holds a version that is not older
--- a/basillift/blrelay/order.go
+++ b/basillift/blrelay/order.go
@@ -72,6 +72,9 @@
 // Domain returns the members of a failure domain in order. The caller must not change them.
 func (o *Order) Domain(fd basillift.FailureDomain) []basillift.VMID { return o.domains[fd] }
 
+// Len is the number of members that take part.
+func (o *Order) Len() int { return len(o.places) }
+
 // Contains reports whether the member takes part.
 func (o *Order) Contains(id basillift.VMID) bool {
 	_, found := o.places[id]
--- a/basillift/blrelay/state.go
+++ b/basillift/blrelay/state.go
@@ -73,6 +73,11 @@
 		return s.rejected(now, e)
 	case eventFailed:
 		return s.failed(now, e)
+	case eventFetched:
+		if e.peer == s.fetching {
+			s.fetching = ""
+		}
+		return s.fetch(now)
 	case eventLost:
 		delete(s.known, e.peer)
 		return nil
--- a/basillift/blrpc/doc.go
+++ b/basillift/blrpc/doc.go
@@ -25,4 +25,4 @@
 // connection because the compressed stream cannot be resumed.
 package blrpc
 
-//go:generate go tool -C ../../tools go-jsonschema --only-models --tags json -p blrpc -o ../basillift/blrpc/messages_gen.go ../schema/messages.json
+//go:generate go -C ../../tools tool go-jsonschema --only-models --tags json -p blrpc -o ../basillift/blrpc/messages_gen.go ../schema/messages.json
--- a/basillift/blrpc/peer.go
+++ b/basillift/blrpc/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,9 +53,11 @@
 // dropped and counted, except that of an announced version the newest is kept.
 func (p *Pool) Notify(to basillift.VMID, method string, params any) {
 	r := p.peer(to)
+	p.unsent.Add(1)
 	if r.outbound.Offer(notification{method: method, params: params}) {
 		return
 	}
+	p.unsent.Add(-1)
 	if a, ok := params.(Announce); ok {
 		r.mutex.Lock()
 		r.missed = &a
@@ -64,16 +67,8 @@
 	p.counters.dropped.Add(1)
 }
 
-// Pending is the number of messages that wait to be sent.
-func (p *Pool) Pending() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	n := 0
-	for _, r := range p.peers {
-		n += r.outbound.Len()
-	}
-	return n
-}
+// Pending is the number of messages that are queued or being sent.
+func (p *Pool) Pending() int { return int(p.unsent.Load()) }
 
 func (r *peer) loop(ctx context.Context) {
 	defer r.pool.tasks.Done()
@@ -84,6 +79,7 @@
 		}
 		r.send(ctx, n)
 		if a := r.takeMissed(); a != nil {
+			r.pool.unsent.Add(1)
 			r.send(ctx, notification{method: MethodAnnounce, params: *a})
 		}
 	}
@@ -101,6 +97,7 @@
 }
 
 func (r *peer) send(ctx context.Context, n notification) {
+	defer r.pool.unsent.Add(-1)
 	limited, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
 	l, err := r.connect(limited)
@@ -131,6 +128,7 @@
 			next = &n
 			break
 		}
+		r.pool.unsent.Add(-1)
 		first.Records = append(first.Records[:len(first.Records):len(first.Records)], more.Records...)
 		first.Claims = append(first.Claims[:len(first.Claims):len(first.Claims)], more.Claims...)
 	}
@@ -217,6 +215,15 @@
 	return false
 }
 
+func (r *peer) closeAll() {
+	r.mutex.Lock()
+	links := slices.Clone(r.links)
+	r.mutex.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+}
+
 // current returns the connection to use. When both sides dialled at the same moment,
 // both prefer the one dialled by the smaller VM id, so that the other falls idle.
 func (r *peer) current() *link {
--- a/basillift/blrpc/pool.go
+++ b/basillift/blrpc/pool.go
@@ -21,6 +21,9 @@
 	callTimeout = 5 * time.Second
 	// idleTime is how long an unused connection stays open unless Keep names its peer.
 	idleTime = 30 * time.Second
+	// maxLinks bounds the connections of a daemon. Above it, incoming ones are closed at
+	// once, and the peer tries another member.
+	maxLinks = 256
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = 5 * time.Second
 )
@@ -57,6 +60,7 @@
 	counters Counters
 	kept     atomic.Pointer[map[basillift.VMID]bool]
 	tasks    sync.WaitGroup
+	unsent   atomic.Int64
 
 	mutex   sync.Mutex
 	ctx     context.Context
@@ -136,6 +140,10 @@
 			}
 			continue
 		}
+		if p.Connections() >= maxLinks {
+			_ = socket.Close()
+			continue
+		}
 		l, err := p.newLink(ctx, socket, false)
 		if err != nil {
 			_ = socket.Close()
@@ -178,6 +186,14 @@
 	return links
 }
 
+// Release closes the connections to a peer that Keep does not name.
+func (p *Pool) Release(id basillift.VMID) {
+	if kept := p.kept.Load(); kept != nil && (*kept)[id] {
+		return
+	}
+	p.peer(id).closeAll()
+}
+
 // Keep names the peers whose connections stay open while idle.
 func (p *Pool) Keep(ids []basillift.VMID) {
 	kept := make(map[basillift.VMID]bool, len(ids))
