blrpc, blnode: bound the connections of a daemon

Cause: 128 daemons in one process (4 failure domains) held 40.9 connections and 38.8 MB each 25 s after they started together, about 1 MB a connection for its zstd encoder and decoder; nothing bounded them.

Change: a pool holds at most 96 connections, and the one unused for longest makes room; a starting daemon asks at most 8 members for their version. A daemon that sees other content under its version takes the right one from a reader.

--- a/basillift/blnode/greet.go
+++ b/basillift/blnode/greet.go
@@ -19,6 +19,9 @@
 	greetLast  = 10 * time.Second
 	// greetBatch bounds the contacts of one round.
 	greetBatch = 4
+	// askLimit bounds the members that a starting daemon asks for their version beside its
+	// first contacts. Without it, 128 daemons that start together held 40 connections each.
+	askLimit = 8
 	// listTimeout bounds the read of the VM list for first contacts.
 	listTimeout = time.Second
 )
@@ -28,9 +31,12 @@
 	node   *Node
 	random *rand.Rand
 	listed []string
+	asked  map[basillift.VMID]bool
 }
 
-func newGreeting(n *Node) *greeting { return &greeting{node: n, random: n.fork()} }
+func newGreeting(n *Node) *greeting {
+	return &greeting{node: n, random: n.fork(), asked: map[basillift.VMID]bool{}}
+}
 
 func (g *greeting) loop(ctx context.Context) {
 	defer g.node.tasks.Done()
@@ -131,14 +137,15 @@
 	})
 }
 
-// askMember asks one more member for its version, in another failure domain where possible.
+// askMember asks one more member of its own and one of another failure domain for their versions.
 func (g *greeting) askMember(ctx context.Context) {
 	var near, far []basillift.VMID
 	self := g.node.Self()
 	for _, s := range g.node.Members() {
 		m := s.Member()
 		switch {
-		case m.ID() == self.ID() || s.Liveness() == basillift.LivenessDead || m.State() == basillift.TargetGone:
+		case m.ID() == self.ID() || g.asked[m.ID()]:
+		case s.Liveness() == basillift.LivenessDead || m.State() == basillift.TargetGone:
 		case m.Place().FailureDomain() == self.Place().FailureDomain():
 			near = append(near, m.ID())
 		default:
@@ -146,8 +153,11 @@
 		}
 	}
 	for _, ids := range [][]basillift.VMID{far, near} {
-		if len(ids) > 0 {
-			g.node.start(&probing{node: g.node, peer: ids[g.random.Intn(len(ids))]})
+		if len(ids) == 0 || len(g.asked) >= askLimit || ctx.Err() != nil {
+			continue
 		}
+		peer := ids[g.random.Intn(len(ids))]
+		g.asked[peer] = true
+		g.node.start(&probing{node: g.node, peer: peer})
 	}
 }
--- a/basillift/blnode/loop.go
+++ b/basillift/blnode/loop.go
@@ -43,6 +43,7 @@
 	n.distribute(now, n.relay.Apply(now, blrelay.Tick()))
 	n.considerCandidate(now)
 	n.enforce(now)
+	n.settle(now)
 	n.writeStatus(now)
 }
 
--- a/basillift/blnode/node.go
+++ b/basillift/blnode/node.go
@@ -72,6 +72,7 @@
 	reader     *reader
 	encoded    encodedDelta
 	refused    refusal
+	settling   time.Time
 }
 
 var (
--- a/basillift/blnode/relay.go
+++ b/basillift/blnode/relay.go
@@ -17,6 +17,9 @@
 // a local network.
 const fetchTimeout = 5 * time.Second
 
+// settleInterval is the time between two attempts to settle a conflict.
+const settleInterval = 2 * time.Second
+
 // encodedDelta keeps the last encoded delta, which a daemon sends to up to 8 children.
 type encodedDelta struct {
 	from, to basillift.Version
@@ -24,7 +27,7 @@
 }
 
 // distribute carries out what the relay decided.
-func (n *Node) distribute(now time.Time, actions []blrelay.Action) {
+func (n *Node) distribute(_ time.Time, actions []blrelay.Action) {
 	for _, a := range actions {
 		switch a.Kind() {
 		case blrelay.ActionPush:
@@ -37,7 +40,6 @@
 			// The delta is with the message that led here; see pushed.
 		}
 	}
-	_ = now
 }
 
 func (n *Node) announce(peer basillift.VMID) {
@@ -97,9 +99,48 @@
 	}
 	n.record(basillift.NewEvent(now, basillift.EventVersionRefused).WithVersion(v, theirs).WithTarget(peer).
 		WithDetail("peer holds other content under the version in force"))
+	n.settle(now)
+}
+
+// settle looks for the right content of a version that was seen with two. A reader reads
+// the platform again; another daemon takes the full version from a reader.
+func (n *Node) settle(now time.Time) {
+	if _, found := n.holder.Conflict(); !found || now.Sub(n.settling) < settleInterval {
+		return
+	}
+	n.settling = now
 	if n.reader != nil {
 		n.reader.again()
+		return
+	}
+	self := n.members.Self()
+	readers := n.members.Order().Readers(self.Place().FailureDomain())
+	if len(readers) > 0 {
+		n.start(&settlement{node: n, peer: readers[n.random.Intn(len(readers))]})
+	}
+}
+
+type settlement struct {
+	node *Node
+	peer basillift.VMID
+}
+
+func (s *settlement) run(ctx context.Context) {
+	n := s.node
+	f := &fetching{node: n, action: blrelay.FetchAll(s.peer)}
+	answer, err := f.ask(ctx)
+	if err != nil || answer.Full == "" {
+		return
 	}
+	snapshot, err := decodeFull(answer.Full)
+	if err != nil {
+		return
+	}
+	n.put(ctx, func(now time.Time) {
+		if n.holder.Settle(now, snapshot) == blconfig.DecisionAdopt {
+			n.adopted(now, s.peer)
+		}
+	})
 }
 
 // pushed takes a delta from a peer.
@@ -251,13 +292,21 @@
 		}
 		return func(now time.Time) { n.applyDelta(now, peer, d) }, nil
 	}
-	data, err := base64.StdEncoding.DecodeString(answer.Full)
+	s, err := decodeFull(answer.Full)
+	if err != nil {
+		return nil, fmt.Errorf("fetch full snapshot: %w", err)
+	}
+	return func(now time.Time) { n.offered(now, peer, s) }, nil
+}
+
+func decodeFull(text string) (*blconfig.Snapshot, error) {
+	data, err := base64.StdEncoding.DecodeString(text)
 	if err != nil {
-		return nil, fmt.Errorf("fetch full snapshot: %w: %w", basillift.ErrRefused, err)
+		return nil, fmt.Errorf("decode base64: %w: %w", basillift.ErrRefused, err)
 	}
 	s, err := blconfig.DecodeFull(data)
 	if err != nil {
-		return nil, fmt.Errorf("fetch full snapshot: %w", err)
+		return nil, fmt.Errorf("decode snapshot: %w", err)
 	}
-	return func(now time.Time) { n.offered(now, peer, s) }, nil
+	return s, nil
 }
--- a/basillift/blrelay/event.go
+++ b/basillift/blrelay/event.go
@@ -125,3 +125,9 @@
 
 // Cause is why the daemon fetches.
 func (a Action) Cause() Cause { return a.cause }
+
+// FetchAll returns the action that fetches the whole version of a peer, to settle a
+// conflict between two contents of the version in force.
+func FetchAll(peer basillift.VMID) Action {
+	return Action{kind: ActionFetch, peer: peer, full: true, cause: CauseProbe}
+}
--- a/basillift/blrpc/pool.go
+++ b/basillift/blrpc/pool.go
@@ -21,9 +21,12 @@
 	callTimeout = 5 * time.Second
 	// idleTime is how long an unused connection stays open unless Keep names its peer.
 	idleTime = 30 * time.Second
-	// maxLinks bounds the connections of a daemon. Above it, incoming ones are closed at
-	// once, and the peer tries another member.
-	maxLinks = 256
+	// maxLinks bounds the connections of a daemon, each of which takes about 1 MB for its
+	// encoder and decoder. At the bound the one that is unused for longest makes room.
+	maxLinks = 96
+	// busyTime is how long a connection counts as busy after its last use, so that it does
+	// not make room while a call is running.
+	busyTime = callTimeout
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = 5 * time.Second
 )
@@ -54,6 +57,7 @@
 	self     basillift.VMID
 	greeter  Greeter
 	resolve  Resolver
+	limit    int
 	clock    func() time.Time
 	handlers map[string]Handler
 	ordered  map[string]OrderedHandler
@@ -73,7 +77,7 @@
 // NewPool returns a pool that does nothing until Run.
 func NewPool(self basillift.VMID, g Greeter, r Resolver, seed int64) *Pool {
 	return &Pool{
-		self: self, greeter: g, resolve: r, clock: time.Now, random: rand.New(rand.NewSource(seed)),
+		self: self, greeter: g, resolve: r, limit: maxLinks, clock: time.Now, random: rand.New(rand.NewSource(seed)),
 		handlers: map[string]Handler{}, ordered: map[string]OrderedHandler{},
 		peers: map[basillift.VMID]*peer{}, links: map[*link]struct{}{},
 	}
@@ -140,7 +144,7 @@
 			}
 			continue
 		}
-		if p.Connections() >= maxLinks {
+		if !p.makeRoom(p.clock()) {
 			_ = socket.Close()
 			continue
 		}
@@ -186,6 +190,31 @@
 	return links
 }
 
+// makeRoom closes the connection that is unused for longest when the bound is reached. It
+// reports false when all others are kept or busy.
+func (p *Pool) makeRoom(now time.Time) bool {
+	links := p.allLinks()
+	if len(links) < p.limit {
+		return true
+	}
+	kept := p.kept.Load()
+	var oldest *link
+	for _, l := range links {
+		id := l.peer.Load()
+		if id != nil && kept != nil && (*kept)[*id] || l.closed() {
+			continue
+		}
+		if oldest == nil || l.lastUsed.Load() < oldest.lastUsed.Load() {
+			oldest = l
+		}
+	}
+	if oldest == nil || now.Sub(time.Unix(0, oldest.lastUsed.Load())) < busyTime {
+		return false
+	}
+	oldest.close()
+	return true
+}
+
 // Release closes the connections to a peer that Keep does not name.
 func (p *Pool) Release(id basillift.VMID) {
 	if kept := p.kept.Load(); kept != nil && (*kept)[id] {
@@ -257,6 +286,9 @@
 	if base == nil || base.Err() != nil {
 		return nil, Hello{}, fmt.Errorf("dial %s: pool is not running: %w", address, basillift.ErrUnavailable)
 	}
+	if !p.makeRoom(p.clock()) {
+		return nil, Hello{}, fmt.Errorf("dial %s: %d connections are busy: %w", address, p.limit, basillift.ErrUnavailable)
+	}
 	socket, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, Hello{}, fmt.Errorf("dial: %w", err)
--- a/basillift/blrpc/pool_test.go
+++ b/basillift/blrpc/pool_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,6 +187,30 @@
 	is.True(f.pools["a"].Counters().Dropped() > 0)
 }
 
+// Guards against a daemon that runs out of memory because it calls many peers: at the bound
+// the connection that is unused for longest makes room, and none that is in use.
+func TestConnectionBound(t *testing.T) {
+	is := is.New(t)
+	var ahead atomic.Int64
+	f := newFixture(t, func(name string, p *Pool) {
+		p.Handle("echo", echo)
+		if name == "a" {
+			p.limit = 2
+			p.clock = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+		}
+	}, "a", "b", "c", "d")
+	defer f.stop()
+	call := func(to basillift.VMID) error { return f.pools["a"].Call(context.Background(), to, "echo", 1, nil) }
+	is.NoErr(call("b"))
+	is.NoErr(call("c"))
+	is.True(errors.Is(call("d"), basillift.ErrUnavailable))
+	ahead.Store(int64(2 * busyTime))
+	is.NoErr(call("c"))
+	is.NoErr(call("d"))
+	is.True(f.pools["a"].peer("b").current() == nil)
+	is.True(f.pools["a"].peer("c").current() != nil)
+}
+
 // Guards against messages that exhaust memory: a length above the bound and a broken
 // stream must both end the connection with an error.
 func TestStreamBounds(t *testing.T) {
