Add timeline, settings, log catalogue, audit and notice decisions

Cause: the daemon needs checked settings, numbered log events and a timeline before it can be wired; the audit must not share code with the decisions it checks. Change: bltimeline (ring, merge, three formats), blsettings (hujson, schema, generated reference page), bllog (catalogue page checked by a test), blaudit (nine rules, each with a trace that breaks it), blnotice (observer, book, notifier as pure functions), docs/glossary.md.

--- /dev/null
+++ b/basillift/blaudit/report.go
@@ -0,0 +1,106 @@
+package blaudit
+
+import (
+	"slices"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// The bounds that the promises state, and the assumed error of clocks.
+const (
+	// LeaveBound is when a leaving target gets no new calls from any caller's daemon.
+	LeaveBound = 2 * time.Second
+	// ForceBound is when an accepted version is in force everywhere.
+	ForceBound = 3 * time.Second
+	// ClockError is the difference between the clocks of two VMs that rules allow for.
+	ClockError = 50 * time.Millisecond
+)
+
+// Promise is the number of a promise in docs/design.md.
+type Promise int
+
+// The promises.
+const (
+	NeverBack    Promise = 1
+	NoBadRoute   Promise = 2
+	AllOrNone    Promise = 3
+	WholeAnswer  Promise = 4
+	TrulyNotRun  Promise = 5
+	AtMostOnce   Promise = 6
+	LeaveTarget  Promise = 7
+	GracefulStop Promise = 8
+	InForce      Promise = 9
+)
+
+// String is the promise in a few words.
+func (p Promise) String() string {
+	names := map[Promise]string{
+		NeverBack:    "no older version",
+		NoBadRoute:   "no route to a missing resource",
+		AllOrNone:    "all of a version or none",
+		WholeAnswer:  "whole answer",
+		TrulyNotRun:  "not run means not run",
+		AtMostOnce:   "at most once",
+		LeaveTarget:  "no new work for a leaving target",
+		GracefulStop: "graceful stop",
+		InForce:      "in force everywhere",
+	}
+	return names[p]
+}
+
+// Finding is one broken promise with the events that break it.
+type Finding struct {
+	promise Promise
+	text    string
+	events  []basillift.Event
+}
+
+// Promise is the promise that is broken.
+func (f Finding) Promise() Promise { return f.promise }
+
+// Text says what happened.
+func (f Finding) Text() string { return f.text }
+
+// Events are the events that break the promise, in order.
+func (f Finding) Events() []basillift.Event { return f.events }
+
+// VMs are the VMs concerned, sorted.
+func (f Finding) VMs() []basillift.VMID {
+	var vms []basillift.VMID
+	for _, e := range f.events {
+		vms = append(vms, e.VM())
+	}
+	slices.Sort(vms)
+	return slices.Compact(vms)
+}
+
+// Report is the result of a check.
+type Report struct {
+	findings []Finding
+	gaps     []basillift.VMID
+	events   int
+}
+
+// Findings are the broken promises, by promise.
+func (r Report) Findings() []Finding { return r.findings }
+
+// Gaps are the VMs whose timeline misses events.
+func (r Report) Gaps() []basillift.VMID { return r.gaps }
+
+// Events is the number of events that were checked.
+func (r Report) Events() int { return r.events }
+
+// Check applies all rules to a merged timeline.
+func Check(events []basillift.Event) Report {
+	h := newHistory(events)
+	var findings []Finding
+	rules := []func(history) []Finding{
+		checkNeverBack, checkNoBadRoute, checkAllOrNone, checkWholeAnswer, checkNotRun,
+		checkAtMostOnce, checkLeaving, checkStops, checkInForce,
+	}
+	for _, rule := range rules {
+		findings = append(findings, rule(h)...)
+	}
+	return Report{findings: findings, gaps: h.gapVMs(), events: len(events)}
+}
--- /dev/null
+++ b/basillift/blnotice/notice_test.go
@@ -0,0 +1,143 @@
+package blnotice
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet is a few observers and notifiers that share nothing but reports.
+type fleet struct {
+	observers []*Observer
+	books     []*Book
+	sent      map[Phase]int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{sent: map[Phase]int{}}
+	for range n {
+		f.observers = append(f.observers, NewObserver())
+		f.books = append(f.books, NewBook())
+	}
+	return f
+}
+
+// step lets every observer that sees the condition report to the notifier.
+func (f *fleet) step(now time.Time, notifier int, holds bool) {
+	var conditions []Condition
+	if holds {
+		conditions = []Condition{NewCondition(KindNoTarget, "orders", "no willing target")}
+	}
+	book := f.books[notifier]
+	for _, o := range f.observers {
+		for _, r := range o.Observe(now, conditions) {
+			if _, due := book.Report(now, r); due {
+				f.sent[PhaseOpen]++
+			}
+			o.Acknowledged(r.Condition().ID())
+		}
+	}
+	f.sent[PhaseClosed] += len(book.Tick(now))
+}
+
+func (f *fleet) run(from, to int, notifier int, holds func(second int) bool) {
+	for second := from; second < to; second++ {
+		f.step(start.Add(time.Duration(second)*time.Second), notifier, holds(second))
+	}
+}
+
+func always(int) bool { return true }
+func never(int) bool  { return false }
+
+func assertSent(t *testing.T, f *fleet, open, closed int) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(f.sent[PhaseOpen], open)
+	is.Equal(f.sent[PhaseClosed], closed)
+}
+
+// Guards against more than one notice for one incident, and against none.
+func TestOneNoticeForEachMatter(t *testing.T) {
+	t.Run("many observers", func(t *testing.T) {
+		f := newFleet(5)
+		f.run(0, 300, 0, always)
+		assertSent(t, f, 1, 0)
+	})
+	t.Run("a short condition needs nobody", func(t *testing.T) {
+		f := newFleet(3)
+		f.run(0, 9, 0, always)
+		f.run(9, 200, 0, never)
+		assertSent(t, f, 0, 0)
+	})
+	t.Run("the end is told once", func(t *testing.T) {
+		f := newFleet(3)
+		f.run(0, 60, 0, always)
+		f.run(60, 300, 0, never)
+		assertSent(t, f, 1, 1)
+	})
+	t.Run("a flapping condition is one matter", func(t *testing.T) {
+		f := newFleet(3)
+		f.run(0, 600, 0, func(second int) bool { return second%40 < 20 })
+		assertSent(t, f, 1, 0)
+	})
+	t.Run("the successor of a dead notifier does not repeat it", func(t *testing.T) {
+		f := newFleet(3)
+		f.run(0, 60, 0, always)
+		f.run(60, 300, 1, always)
+		assertSent(t, f, 1, 0)
+	})
+	t.Run("a second incident is a new matter", func(t *testing.T) {
+		f := newFleet(3)
+		f.run(0, 60, 0, always)
+		f.run(60, 200, 0, never)
+		f.run(200, 260, 0, always)
+		assertSent(t, f, 2, 1)
+	})
+}
+
+// Guards against a notice that is lost because its delivery failed once.
+func TestFailedDeliveryIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	r := NewReport(NewCondition(KindPlatform, "platform", ""), start, false)
+	_, due := b.Report(start, r)
+	is.True(due)
+	b.Failed(r.Condition().ID())
+	_, due = b.Report(start.Add(RepeatEvery), r)
+	is.True(due)
+}
+
+// Guards against two sides of a partition whose notices the receiver cannot join.
+func TestIDDoesNotDependOnTheSender(t *testing.T) {
+	is := is.New(t)
+	a := NewCondition(KindCutOff, "burlington", "seen from nashua")
+	b := NewCondition(KindCutOff, "burlington", "seen from bangor")
+	is.Equal(a.ID(), b.ID())
+}
+
+// Guards against daemons with one view that choose different notifiers.
+func TestNotifier(t *testing.T) {
+	is := is.New(t)
+	var members []basillift.Status
+	for i := range 20 {
+		m := basillift.NewMember(basillift.VMID(fmt.Sprintf("vm%d", i)), 1, basillift.Addresses{}, basillift.Place{}, "s", 1)
+		members = append(members, basillift.NewStatus(m, basillift.LivenessAlive, false))
+	}
+	want := Notifier(members)
+	rand.New(rand.NewSource(1)).Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	is.Equal(Notifier(members), want)
+	for i, m := range members {
+		if m.Member().ID() == want {
+			members[i] = basillift.NewStatus(m.Member(), basillift.LivenessDead, false)
+		}
+	}
+	is.True(Notifier(members) != want)
+	is.Equal(Notifier(nil), basillift.VMID(""))
+}
--- /dev/null
+++ b/basillift/blsettings/settings.go
@@ -0,0 +1,98 @@
+package blsettings
+
+import (
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// Trace says which calls are recorded in the timeline.
+type Trace string
+
+// The choices of Trace.
+const (
+	TraceNone    Trace = "none"
+	TraceRefused Trace = "refused"
+	TraceAll     Trace = "all"
+)
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	name        basillift.VMID
+	place       basillift.Place
+	service     string
+	caller      string
+	addresses   basillift.Addresses
+	target      string
+	platform    string
+	seeds       []string
+	domains     []basillift.FailureDomain
+	slots       int
+	connections int
+	queue       int
+	timeout     time.Duration
+	longest     time.Duration
+	drain       time.Duration
+	trace       Trace
+	level       string
+	notify      string
+}
+
+// Name is the VM's name.
+func (s Settings) Name() basillift.VMID { return s.name }
+
+// Place is the VM's failure domain and region.
+func (s Settings) Place() basillift.Place { return s.place }
+
+// Service is the service that the VM's target runs.
+func (s Settings) Service() string { return s.service }
+
+// Caller is the address for calls from the VM's own programs and from clients.
+func (s Settings) Caller() string { return s.caller }
+
+// Addresses are where other daemons and operators reach this one.
+func (s Settings) Addresses() basillift.Addresses { return s.addresses }
+
+// Target is the address of the VM's target.
+func (s Settings) Target() string { return s.target }
+
+// Platform is the platform's URL.
+func (s Settings) Platform() string { return s.platform }
+
+// Seeds are control addresses of other daemons for the first contact.
+func (s Settings) Seeds() []string { return s.seeds }
+
+// Domains are the failure domains of the mesh that are known in advance.
+func (s Settings) Domains() []basillift.FailureDomain { return s.domains }
+
+// Slots is how many calls the target runs at once.
+func (s Settings) Slots() int { return s.slots }
+
+// Connections is how many connections the target accepts at once.
+func (s Settings) Connections() int { return s.connections }
+
+// Queue is how many calls wait for a slot at most.
+func (s Settings) Queue() int { return s.queue }
+
+// Timeout is the deadline of a call that brings none.
+func (s Settings) Timeout() time.Duration { return s.timeout }
+
+// Longest is the longest deadline that a caller may ask for.
+func (s Settings) Longest() time.Duration { return s.longest }
+
+// Drain is how long a stop waits for calls in flight.
+func (s Settings) Drain() time.Duration { return s.drain }
+
+// Trace says which calls are recorded.
+func (s Settings) Trace() Trace { return s.trace }
+
+// Level is the lowest level that is logged.
+func (s Settings) Level() string { return s.level }
+
+// Notify is the URL that receives notices; empty sends none.
+func (s Settings) Notify() string { return s.notify }
+
+// Member returns the daemon's first member record.
+func (s Settings) Member(now time.Time) basillift.Member {
+	return basillift.NewMember(s.name, uint64(now.UnixMilli()), s.addresses, s.place, s.service, s.slots)
+}
