Add operators' HTTP interface and delivery of notices

Cause: the operators' client and the demo need status, timeline, explain, drain and readiness from each daemon; notices need a path from observers to one sender.

--- /dev/null
+++ b/basillift/bladmin/admin_test.go
@@ -0,0 +1,97 @@
+package bladmin
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blnotice"
+)
+
+type fakeSource struct {
+	ready   bool
+	drained chan bool
+}
+
+func (f fakeSource) Status(time.Time) Report {
+	return Report{Vm: "vm1", Version: "1.42", Members: []Member{{Vm: "vm2"}}}
+}
+func (f fakeSource) Ready() bool { return f.ready }
+func (f fakeSource) Timeline() ([]basillift.Event, uint64) {
+	return []basillift.Event{basillift.NewEvent(time.Unix(1, 0), basillift.EventStarted).WithOrigin("vm1", 1, 1)}, 3
+}
+func (f fakeSource) Notices() []blnotice.Message { return []blnotice.Message{{Id: "1"}} }
+func (f fakeSource) Explain(_ time.Time, customer, service, method string) []string {
+	return []string{customer, service, method}
+}
+func (f fakeSource) Drain() { f.drained <- true }
+
+func serve(t *testing.T, s Source) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := NewServer(s)
+	done := make(chan error, 1)
+	go func() { done <- server.Run(listener) }()
+	t.Cleanup(func() {
+		is.New(t).NoErr(server.Stop())
+		is.New(t).NoErr(<-done)
+	})
+	return NewClient(listener.Addr().String())
+}
+
+// Guards against a server and a client that disagree on paths or shapes.
+func TestServerAnswersClient(t *testing.T) {
+	source := fakeSource{drained: make(chan bool, 1)}
+	client := serve(t, source)
+	t.Run("status", func(t *testing.T) {
+		is := is.New(t)
+		report, err := client.Status()
+		is.NoErr(err)
+		is.Equal(report.Version, "1.42")
+		is.Equal(report.Members[0].Vm, "vm2")
+	})
+	t.Run("timeline", func(t *testing.T) {
+		is := is.New(t)
+		events, err := client.Timeline()
+		is.NoErr(err)
+		is.Equal(events[0].Kind(), basillift.EventStarted)
+	})
+	t.Run("explain", func(t *testing.T) {
+		is := is.New(t)
+		steps, err := client.Explain("a&b", "orders", "POST")
+		is.NoErr(err)
+		is.Equal(steps, []string{"a&b", "orders", "POST"})
+	})
+	t.Run("explain without a customer is refused", func(t *testing.T) {
+		is := is.New(t)
+		_, err := client.Explain("", "orders", "GET")
+		is.True(errors.Is(err, ErrAnswer))
+		is.True(strings.Contains(err.Error(), "customer"))
+	})
+	t.Run("notices", func(t *testing.T) {
+		is := is.New(t)
+		notices, err := client.Notices()
+		is.NoErr(err)
+		is.Equal(len(notices), 1)
+	})
+	t.Run("drain", func(t *testing.T) {
+		is := is.New(t)
+		is.NoErr(client.Drain())
+		is.True(<-source.drained)
+	})
+}
+
+// Guards against a daemon that takes traffic from a load balancer before it holds a version.
+func TestReady(t *testing.T) {
+	for _, ready := range []bool{true, false} {
+		client := serve(t, fakeSource{ready: ready})
+		_, err := client.do("GET", "/ready")
+		is.New(t).Equal(err == nil, ready)
+	}
+}
--- /dev/null
+++ b/basillift/bladmin/server.go
@@ -0,0 +1,147 @@
+package bladmin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blnotice"
+	"basillift.dev/basillift/bltimeline"
+)
+
+// maxRequest bounds a request of an operator, in bytes.
+const maxRequest = 64 << 10
+
+// Source is what a daemon shows to operators.
+type Source interface {
+	// Status describes the daemon.
+	Status(now time.Time) Report
+	// Ready reports whether the daemon serves calls.
+	Ready() bool
+	// Timeline returns the kept events and the number of dropped ones.
+	Timeline() ([]basillift.Event, uint64)
+	// Notices returns the open matters that this daemon has sent.
+	Notices() []blnotice.Message
+	// Explain says step by step where a call would go.
+	Explain(now time.Time, customer, service, method string) []string
+	// Drain begins to drain the VM's target.
+	Drain()
+}
+
+// Server answers operators.
+type Server struct {
+	source Source
+	http   *fasthttp.Server
+}
+
+// NewServer returns a server for one daemon.
+func NewServer(s Source) *Server {
+	server := &Server{source: s}
+	r := router.New()
+	r.GET("/status", server.status)
+	r.GET("/timeline", server.timeline)
+	r.GET("/notices", server.notices)
+	r.GET("/explain", server.explain)
+	r.POST("/drain", server.drain)
+	r.GET("/metrics", server.metrics)
+	r.GET("/health", server.health)
+	r.GET("/ready", server.ready)
+	server.http = &fasthttp.Server{
+		Handler:            r.Handler,
+		Name:               "basilliftd",
+		MaxRequestBodySize: maxRequest,
+		ReadTimeout:        30 * time.Second,
+		IdleTimeout:        time.Minute,
+		CloseOnShutdown:    true,
+	}
+	return server
+}
+
+// Run serves the listener until Stop.
+func (s *Server) Run(l net.Listener) error {
+	if err := s.http.Serve(l); err != nil {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+// Stop ends Run after the requests in flight.
+func (s *Server) Stop() error {
+	if err := s.http.Shutdown(); err != nil {
+		return fmt.Errorf("stop serving operators: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) status(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, s.source.Status(time.Now()))
+}
+
+func (s *Server) timeline(ctx *fasthttp.RequestCtx) {
+	events, dropped := s.source.Timeline()
+	var body bytes.Buffer
+	if err := bltimeline.Write(&body, bltimeline.FormatJSON, events); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.Response.Header.Set("Basillift-Dropped", fmt.Sprint(dropped))
+	ctx.SetContentType("application/x-ndjson")
+	ctx.SetBody(body.Bytes())
+}
+
+func (s *Server) notices(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, s.source.Notices())
+}
+
+func (s *Server) explain(ctx *fasthttp.RequestCtx) {
+	q := ctx.QueryArgs()
+	customer, service := string(q.Peek("customer")), string(q.Peek("service"))
+	if customer == "" || service == "" {
+		ctx.Error("query customer or service: found nothing, allowed is a name", fasthttp.StatusBadRequest)
+		return
+	}
+	method := string(q.Peek("method"))
+	if method == "" {
+		method = fasthttp.MethodGet
+	}
+	writeJSON(ctx, s.source.Explain(time.Now(), customer, service, method))
+}
+
+func (s *Server) drain(ctx *fasthttp.RequestCtx) {
+	s.source.Drain()
+	ctx.SetStatusCode(fasthttp.StatusAccepted)
+}
+
+func (s *Server) metrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; charset=utf-8")
+	metrics.WritePrometheus(ctx, true)
+}
+
+func (s *Server) health(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if s.source.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- a/basillift/blnotice/doc.go
+++ b/basillift/blnotice/doc.go
@@ -18,3 +18,5 @@
 // Each side of a partition has its own notifier. Both send the same id for the
 // same matter, so that the receiver can join them.
 package blnotice
+
+//go:generate sh -c "cd ../../tools && go tool go-jsonschema --only-models --tags json -t -p blnotice -o ../basillift/blnotice/message_gen.go ../schema/notice.json ../schema/condition.json ../schema/acknowledgement.json"
--- /dev/null
+++ b/basillift/blnotice/service.go
@@ -0,0 +1,206 @@
+package blnotice
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllog"
+)
+
+// MethodCondition is the control method by which observers report to the notifier.
+const MethodCondition = "condition"
+
+const (
+	// observeEvery is how often the conditions are evaluated.
+	observeEvery = time.Second
+	// deliveryTimeout bounds one HTTP POST to the operators' receiver.
+	deliveryTimeout = 5 * time.Second
+	// reportTimeout bounds a report to the notifier, which may deliver before it answers.
+	reportTimeout = 2 * deliveryTimeout
+)
+
+// ErrDelivery means that the receiver of notices did not accept one.
+var ErrDelivery = eris.New("notice not accepted")
+
+// Detector returns the conditions that hold now in one daemon's view.
+type Detector func(now time.Time) []Condition
+
+// Service observes conditions, reports them to the notifier, and delivers notices while its daemon is
+// the notifier.
+type Service struct {
+	directory basillift.Directory
+	peers     basillift.Peers
+	recorder  basillift.Recorder
+	log       *bllog.Logger
+	detect    Detector
+	url       string
+	client    *fasthttp.Client
+	observer  *Observer
+
+	mutex sync.Mutex
+	book  *Book
+}
+
+// NewService returns a service that posts to the URL; an empty URL only keeps the notices for GET /notices.
+func NewService(d basillift.Directory, p basillift.Peers, r basillift.Recorder, l *bllog.Logger, detect Detector, url string) *Service {
+	return &Service{
+		directory: d, peers: p, recorder: r, log: l, detect: detect, url: url,
+		client:   &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: deliveryTimeout, WriteTimeout: deliveryTimeout},
+		observer: NewObserver(), book: NewBook(),
+	}
+}
+
+// Run observes and reports until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.loop(ctx)
+}
+
+func (s *Service) loop(ctx context.Context) {
+	ticker := time.NewTicker(observeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.step(ctx, now)
+		}
+	}
+}
+
+func (s *Service) step(ctx context.Context, now time.Time) {
+	for _, r := range s.observer.Observe(now, s.detect(now)) {
+		id := r.Condition().ID()
+		sent, err := s.report(ctx, now, r)
+		if err != nil {
+			s.observer.Retry(id)
+			continue
+		}
+		if sent {
+			s.observer.Acknowledged(id)
+		}
+	}
+	s.mutex.Lock()
+	closed := s.book.Tick(now)
+	s.mutex.Unlock()
+	for _, n := range closed {
+		s.send(n)
+	}
+}
+
+func (s *Service) report(ctx context.Context, now time.Time, r Report) (bool, error) {
+	notifier := Notifier(s.directory.Members())
+	if notifier == s.directory.Self().ID() || notifier == "" {
+		return s.accept(now, r), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var answer Acknowledgement
+	params := Observed{
+		Kind: string(r.condition.kind), Subject: r.condition.subject, Detail: r.condition.detail,
+		Since: int(r.since.UnixMilli()), Sent: r.sent,
+	}
+	if err := s.peers.Call(ctx, notifier, MethodCondition, params, &answer); err != nil {
+		return false, fmt.Errorf("report condition to %s: %w", notifier, err)
+	}
+	return answer.Sent, nil
+}
+
+// Handle answers the method condition.
+func (s *Service) Handle(now time.Time, params json.RawMessage) (Acknowledgement, error) {
+	var o Observed
+	if err := json.Unmarshal(params, &o); err != nil {
+		return Acknowledgement{}, fmt.Errorf("decode condition: %w", err)
+	}
+	c := NewCondition(Kind(o.Kind), o.Subject, o.Detail)
+	if c.kind.Action() == "" {
+		return Acknowledgement{}, fmt.Errorf("condition kind %q is unknown: %w", o.Kind, basillift.ErrRefused)
+	}
+	return Acknowledgement{Sent: s.accept(now, NewReport(c, time.UnixMilli(int64(o.Since)), o.Sent))}, nil
+}
+
+// accept takes a report and reports whether its notice was sent, now or before.
+func (s *Service) accept(now time.Time, r Report) bool {
+	s.mutex.Lock()
+	notice, due := s.book.Report(now, r)
+	known := s.book.Has(r.condition.ID())
+	s.mutex.Unlock()
+	if !due {
+		return known
+	}
+	if s.send(notice) {
+		return true
+	}
+	s.mutex.Lock()
+	s.book.Failed(r.condition.ID())
+	s.mutex.Unlock()
+	return false
+}
+
+// Open returns the open matters of this daemon's book as messages.
+func (s *Service) Open() []Message {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	open := s.book.Open()
+	messages := make([]Message, 0, len(open))
+	for _, n := range open {
+		messages = append(messages, s.message(n))
+	}
+	return messages
+}
+
+func (s *Service) send(n Notice) bool {
+	kind := basillift.EventNoticeOpened
+	if n.phase == PhaseClosed {
+		kind = basillift.EventNoticeClosed
+	}
+	s.recorder.Record(basillift.NewEvent(n.at, kind).WithKey(n.report.condition.ID()).
+		WithDetail(string(n.report.condition.kind) + " " + n.report.condition.subject))
+	if s.url == "" {
+		return true
+	}
+	if err := s.post(s.message(n)); err != nil {
+		s.log.Failure(bllog.NoticeFailed(), err)
+		return false
+	}
+	s.log.Event(bllog.NoticeSent()).Str("id", n.report.condition.ID()).Str("kind", string(n.report.condition.kind)).Send()
+	return true
+}
+
+func (s *Service) message(n Notice) Message {
+	c := n.report.condition
+	return Message{
+		Id: c.ID(), Kind: string(c.kind), Phase: string(n.phase), Subject: c.subject,
+		Since: n.report.since.UTC().Format(time.RFC3339), Detail: c.detail, Action: c.kind.Action(),
+		Sender: string(s.directory.Self().ID()),
+	}
+}
+
+func (s *Service) post(m Message) error {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("encode notice: %w", err)
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(s.url)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.SetBody(body)
+	if err := s.client.DoTimeout(request, response, deliveryTimeout); err != nil {
+		return fmt.Errorf("post notice: %w", errors.Join(ErrDelivery, err))
+	}
+	if response.StatusCode()/100 != 2 {
+		return fmt.Errorf("post notice: status %d: %w", response.StatusCode(), ErrDelivery)
+	}
+	return nil
+}
