--- /dev/null
+++ b/basillift/blretry/attempt.go
@@ -0,0 +1,120 @@
+package blretry
+
+import (
+	"net/http"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// Idempotent reports whether a request with this method may run twice.
+func Idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
+// Attempt describes a failed attempt at a call.
+type Attempt struct {
+	number     int
+	depth      int
+	outcome    basillift.Outcome
+	reason     basillift.Reason
+	deadline   time.Time
+	idempotent bool
+	keyed      bool
+	callerGone bool
+	bodySent   bool
+	retryAfter time.Duration
+}
+
+// NewAttempt returns an attempt. Number counts from 0 for the first try; depth is
+// the position of this daemon in the call chain.
+func NewAttempt(number, depth int, o basillift.Outcome, r basillift.Reason, deadline time.Time) Attempt {
+	return Attempt{number: number, depth: depth, outcome: o, reason: r, deadline: deadline}
+}
+
+// WithIdempotent returns a copy that says whether the request may run twice.
+func (a Attempt) WithIdempotent(idempotent bool) Attempt {
+	a.idempotent = idempotent
+	return a
+}
+
+// WithKeyed returns a copy that says whether the request carries an idempotency key.
+func (a Attempt) WithKeyed(keyed bool) Attempt {
+	a.keyed = keyed
+	return a
+}
+
+// WithCallerGone returns a copy that says whether the caller hung up.
+func (a Attempt) WithCallerGone(gone bool) Attempt {
+	a.callerGone = gone
+	return a
+}
+
+// WithBodySent returns a copy that says whether a streamed body was read in part
+// or whole and can't be sent again.
+func (a Attempt) WithBodySent(sent bool) Attempt {
+	a.bodySent = sent
+	return a
+}
+
+// WithRetryAfter returns a copy with the wait that the target asked for.
+func (a Attempt) WithRetryAfter(d time.Duration) Attempt {
+	a.retryAfter = d
+	return a
+}
+
+// safe reports whether sending the request again can't make it run twice.
+func (a Attempt) safe() bool {
+	if a.outcome == basillift.OutcomeNotRun {
+		return true
+	}
+	return a.outcome == basillift.OutcomeUnknown && a.idempotent && !a.keyed
+}
+
+// transient reports whether another target may accept what this one refused.
+func (a Attempt) transient() bool {
+	switch a.reason {
+	case basillift.ReasonOverload, basillift.ReasonDraining, basillift.ReasonTarget,
+		basillift.ReasonConnectFailed, basillift.ReasonNoTarget, basillift.ReasonDeadline,
+		basillift.ReasonNoVersion:
+		return true
+	default:
+		return false
+	}
+}
+
+// Why says why a Decision was taken.
+type Why string
+
+// The reasons of a decision.
+const (
+	WhyRetry      Why = "retry"
+	WhyDepth      Why = "depth"
+	WhyTries      Why = "tries"
+	WhyCallerGone Why = "caller-gone"
+	WhyUnsafe     Why = "unsafe"
+	WhyBody       Why = "body-sent"
+	WhyPermanent  Why = "permanent"
+	WhyDeadline   Why = "deadline"
+	WhyBudget     Why = "budget"
+)
+
+// Decision says whether and when to try again.
+type Decision struct {
+	delay time.Duration
+	why   Why
+}
+
+// Retry reports whether to try again.
+func (d Decision) Retry() bool { return d.why == WhyRetry }
+
+// Delay is how long to wait first.
+func (d Decision) Delay() time.Duration { return d.delay }
+
+// Why is the reason of the decision.
+func (d Decision) Why() Why { return d.why }
--- /dev/null
+++ b/basillift/blretry/budget_test.go
@@ -0,0 +1,77 @@
+package blretry
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"basillift.dev/basillift"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func newBudget() *Budget { return NewBudget(rand.New(rand.NewSource(1))) }
+
+func attempt(number, depth int, o basillift.Outcome) Attempt {
+	return NewAttempt(number, depth, o, basillift.ReasonTarget, epoch.Add(10*time.Second))
+}
+
+// Guards against each case in which sending a request again amplifies load or
+// runs it twice.
+func TestDecide(t *testing.T) {
+	notRun, unknown := basillift.OutcomeNotRun, basillift.OutcomeUnknown
+	late := NewAttempt(0, 0, notRun, basillift.ReasonTarget, epoch.Add(time.Millisecond))
+	cases := []struct {
+		name    string
+		attempt Attempt
+		want    Why
+	}{
+		{"not run", attempt(0, 0, notRun), WhyRetry},
+		{"second further try", attempt(1, 0, notRun), WhyRetry},
+		{"third further try", attempt(2, 0, notRun), WhyTries},
+		{"deeper in the chain", attempt(0, 1, notRun), WhyDepth},
+		{"caller gone", attempt(0, 0, notRun).WithCallerGone(true), WhyCallerGone},
+		{"unknown, idempotent", attempt(0, 0, unknown).WithIdempotent(true), WhyRetry},
+		{"unknown, not idempotent", attempt(0, 0, unknown), WhyUnsafe},
+		{"unknown, keyed", attempt(0, 0, unknown).WithIdempotent(true).WithKeyed(true), WhyUnsafe},
+		{"not run, keyed", attempt(0, 0, notRun).WithKeyed(true), WhyRetry},
+		{"done", attempt(0, 0, basillift.OutcomeDone).WithIdempotent(true), WhyUnsafe},
+		{"body consumed", attempt(0, 0, notRun).WithBodySent(true), WhyBody},
+		{"customer's own limit", NewAttempt(0, 0, notRun, basillift.ReasonRate, epoch.Add(time.Second)), WhyPermanent},
+		{"deadline", late, WhyDeadline},
+		{"target asked to wait too long", attempt(0, 0, notRun).WithRetryAfter(time.Minute), WhyDeadline},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is.New(t).Equal(newBudget().Decide(epoch, tc.attempt).Why(), tc.want)
+		})
+	}
+}
+
+// Guards against an outage that doubles the load: retries stay at 10% of calls.
+func TestBudget(t *testing.T) {
+	b, retries := newBudget(), 0
+	for range 10_000 {
+		b.Called(epoch)
+		for n := 0; b.Decide(epoch, attempt(n, 0, basillift.OutcomeNotRun)).Retry(); n++ {
+			retries++
+		}
+	}
+	is.New(t).True(retries <= 1010)
+	is.New(t).True(retries >= 990)
+}
+
+// Guards against callers that come back at the same moment.
+func TestJitter(t *testing.T) {
+	seen := make(map[time.Duration]bool)
+	b := newBudget()
+	for range 100 {
+		b.tokens = burst
+		d := b.Decide(epoch, attempt(1, 0, basillift.OutcomeNotRun)).Delay()
+		is.New(t).True(d >= 0 && d < 2*baseDelay)
+		seen[d] = true
+	}
+	is.New(t).True(len(seen) > 90)
+}
--- /dev/null
+++ b/basillift/blroute/check.go
@@ -0,0 +1,22 @@
+package blroute
+
+import "basillift.dev/basillift"
+
+// Check returns the customer's plan if it allows the service, or the reason for
+// refusing the call. A nil configuration means that no version is in force yet.
+func Check(c basillift.Configuration, customer, service string) (basillift.Plan, basillift.Reason) {
+	if c == nil {
+		return basillift.Plan{}, basillift.ReasonNoVersion
+	}
+	plan, known := c.Plan(customer)
+	if !known {
+		return basillift.Plan{}, basillift.ReasonCustomer
+	}
+	if !c.HasService(service) {
+		return basillift.Plan{}, basillift.ReasonService
+	}
+	if !plan.Allows(service) {
+		return basillift.Plan{}, basillift.ReasonPlan
+	}
+	return plan, basillift.ReasonNone
+}
--- /dev/null
+++ b/basillift/common/blrendezvous/rendezvous.go
@@ -0,0 +1,65 @@
+// Package blrendezvous ranks members for a key by rendezvous hash (highest random
+// weight): every daemon derives the same ranking from the same members, and a
+// member that joins or leaves only moves the keys that it wins or held.
+//
+// # Usage
+//
+//	owners := blrendezvous.Top(blrendezvous.Key("kobuleti"), ids, 3)
+//
+// The go-rendezvous library returns only the first member, while owner sets and
+// target subsets need the first few.
+package blrendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key hashes the parts of a key. Each part is followed by a zero byte, so that
+// ("ab", "c") and ("a", "bc") differ.
+func Key(parts ...string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// Weight is the weight of a member for a key.
+func Weight(key uint64, member string) uint64 { return mix(key ^ xxhash.Sum64String(member)) }
+
+// Top returns the count members with the highest weight for the key, highest
+// first. Equal weights are ordered by name.
+func Top[T ~string](key uint64, members []T, count int) []T {
+	type weighted struct {
+		member T
+		weight uint64
+	}
+	ranked := make([]weighted, len(members))
+	for i, m := range members {
+		ranked[i] = weighted{member: m, weight: Weight(key, string(m))}
+	}
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member, b.member))
+	})
+	top := make([]T, min(count, len(ranked)))
+	for i := range top {
+		top[i] = ranked[i].member
+	}
+	return top
+}
+
+// mix is the finalizer of MurmurHash3. A plain XOR of two hashes would rank all
+// members by one bit pattern for keys that differ in few bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
