blproxy: thin request path through two daemons

Cause: the daemon needs a request path to be wired into.

Change: caller side and mesh side on fasthttp servers, an outgoing side with its own connection pools, refusals with status, Basillift-Outcome and Basillift-Reason, deadlines, depth, and an epoll watcher that cancels the calls of callers that hang up. The choice of target is the first willing one; the policy packages replace it later.

Conclusion: GET, HEAD, POST and a 1 MB body pass two daemons unchanged, and nine kinds of refusal reach no target (TestPath, TestRefusals, with -race).

--- /dev/null
+++ b/basillift/blproxy/call.go
@@ -0,0 +1,74 @@
+package blproxy
+
+import (
+	"sync"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// call is one request in flight through this daemon. Its connections can be
+// closed from outside by cancel.
+type call struct {
+	id       string
+	customer string
+	service  string
+	method   string
+	key      string
+	from     basillift.VMID
+	version  basillift.Version
+	depth    int
+	deadline time.Time
+	conn     *callerConn
+
+	mutex    sync.Mutex
+	canceled bool
+	held     []*connection
+	space    [2]*connection
+}
+
+// cancel closes the connections that the call holds; later ones are refused.
+func (c *call) cancel() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.canceled {
+		return
+	}
+	c.canceled = true
+	for _, each := range c.held {
+		_ = each.Close()
+	}
+}
+
+func (c *call) isCanceled() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.canceled
+}
+
+// hold lets cancel close the connection, and reports false if the call is already canceled.
+func (c *call) hold(n *connection) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.canceled {
+		return false
+	}
+	if c.held == nil {
+		c.held = c.space[:0]
+	}
+	c.held = append(c.held, n)
+	return true
+}
+
+// letGo ends the hold, and reports false if the call was canceled, so that the connection is closed.
+func (c *call) letGo(n *connection) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for i, each := range c.held {
+		if each == n {
+			c.held = append(c.held[:i], c.held[i+1:]...)
+			break
+		}
+	}
+	return !c.canceled
+}
--- /dev/null
+++ b/basillift/blproxy/fakes_test.go
@@ -0,0 +1,221 @@
+package blproxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"basillift.dev/basillift"
+)
+
+func TestMain(m *testing.M) {
+	// fasthttp starts this goroutine once for the Date header and never ends it.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// configuration is a fake with one plan, "basic", for the services in plan.
+type configuration struct {
+	version   basillift.Version
+	customers []string
+	plan      basillift.Plan
+	services  []string
+}
+
+func (c configuration) Version() basillift.Version { return c.version }
+func (c configuration) Digest() uint64             { return 1 }
+func (c configuration) HasService(s string) bool   { return slices.Contains(c.services, s) }
+func (c configuration) Services() []string         { return c.services }
+func (c configuration) Customers() int             { return len(c.customers) }
+func (c configuration) Plan(customer string) (basillift.Plan, bool) {
+	return c.plan, slices.Contains(c.customers, customer)
+}
+
+func (c configuration) Current() (basillift.Configuration, bool) { return c, !c.version.IsZero() }
+
+// mesh is a fake of everything that one daemon knows of the others.
+type mesh struct {
+	mutex    sync.Mutex
+	self     basillift.Member
+	targets  []basillift.Status
+	events   []basillift.Event
+	observed []basillift.Version
+	calls    func(to basillift.VMID, method string, params, result any) error
+	notified []string
+}
+
+func (m *mesh) locked(f func()) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	f()
+}
+
+func (m *mesh) Self() (self basillift.Member) {
+	m.locked(func() { self = m.self })
+	return self
+}
+
+func (m *mesh) Targets(service string) (found []basillift.Status) {
+	m.locked(func() {
+		for _, s := range m.targets {
+			if s.Member().Service() == service {
+				found = append(found, s)
+			}
+		}
+	})
+	return found
+}
+
+func (m *mesh) Members() (found []basillift.Status) {
+	m.locked(func() { found = slices.Clone(m.targets) })
+	return found
+}
+func (m *mesh) Generation() uint64               { return 1 }
+func (m *mesh) State() basillift.TargetState     { return m.Self().State() }
+func (m *mesh) SetState(s basillift.TargetState) { m.locked(func() { m.self = m.self.WithState(s) }) }
+
+func (m *mesh) Record(e basillift.Event) { m.locked(func() { m.events = append(m.events, e) }) }
+
+func (m *mesh) ObserveVersion(v basillift.Version, _ basillift.VMID) {
+	m.locked(func() { m.observed = append(m.observed, v) })
+}
+
+func (m *mesh) Call(_ context.Context, to basillift.VMID, method string, params, result any) error {
+	if m.calls == nil {
+		return basillift.ErrUnavailable
+	}
+	return m.calls(to, method, params, result)
+}
+
+func (m *mesh) Notify(_ basillift.VMID, method string, _ any) {
+	m.locked(func() { m.notified = append(m.notified, method) })
+}
+
+// daemon is one proxy of a test with its fakes.
+type daemon struct {
+	*Proxy
+	mesh *mesh
+}
+
+func basicConfiguration() configuration {
+	return configuration{
+		version: basillift.NewVersion(1, 7), customers: []string{"kobuleti"},
+		services: []string{"catalogue", "reservations"},
+		plan:     basillift.NewPlan("basic", []string{"catalogue"}, 0, 0, basillift.ClassNormal),
+	}
+}
+
+// startDaemon starts a proxy in front of the target address.
+func startDaemon(t testing.TB, id basillift.VMID, target string, change func(Settings) Settings) *daemon {
+	t.Helper()
+	s := NewSettings("127.0.0.1:0", "127.0.0.1:0", target).WithRecording(RecordAll)
+	if change != nil {
+		s = change(s)
+	}
+	m := &mesh{}
+	p, err := New(s, basicConfiguration(), m, m, m, m, m)
+	requireNoError(t, err)
+	requireNoError(t, p.Listen())
+	addresses := basillift.NewAddresses("", p.MeshAddress(), "")
+	place := basillift.NewPlace("tbilisi-a", "georgia")
+	m.self = basillift.NewMember(id, 1, addresses, place, "catalogue", 10).WithState(basillift.TargetReady)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		requireNoError(t, <-done)
+	})
+	return &daemon{Proxy: p, mesh: m}
+}
+
+// knows makes the other daemons' targets known to this one.
+func (d *daemon) knows(others ...*daemon) {
+	d.mesh.locked(func() {
+		for _, o := range others {
+			d.mesh.targets = append(d.mesh.targets, basillift.NewStatus(o.mesh.Self(), basillift.LivenessAlive, false))
+		}
+	})
+}
+
+// startPair starts the daemon of a caller and the daemon of a target.
+func startPair(t testing.TB, target string, change func(Settings) Settings) (caller, called *daemon) {
+	t.Helper()
+	called = startDaemon(t, "vm-b", target, change)
+	caller = startDaemon(t, "vm-a", "127.0.0.1:1", change)
+	caller.knows(called)
+	return caller, called
+}
+
+// startTarget serves a well-behaved target.
+func startTarget(t testing.TB, handle fasthttp.RequestHandler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	requireNoError(t, err)
+	s := &fasthttp.Server{Handler: handle, StreamRequestBody: true, Logger: silent{}}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		requireNoError(t, s.Shutdown())
+		requireNoError(t, <-done)
+	})
+	return l.Addr().String()
+}
+
+// ask sends one request to the daemon's caller side.
+func (d *daemon) ask(t testing.TB, method, path, text string, headers ...string) *fasthttp.Response {
+	t.Helper()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetRequestURI(path)
+	request.Header.SetHost(d.CallerAddress())
+	request.Header.SetMethod(method)
+	request.Header.Set(HeaderCustomer, "kobuleti")
+	request.SetBodyString(text)
+	for _, h := range headers {
+		name, value, found := strings.Cut(h, ": ")
+		if found {
+			request.Header.Set(name, value)
+		}
+	}
+	request.SetConnectionClose()
+	response := &fasthttp.Response{}
+	c, err := net.Dial("tcp", d.CallerAddress())
+	requireNoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = request.WriteTo(c)
+	requireNoError(t, err)
+	response.SkipBody = method == fasthttp.MethodHead
+	requireNoError(t, response.Read(bufio.NewReader(c)))
+	return response
+}
+
+func requireNoError(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("unexpected error: %v", err)
+	}
+}
+
+func assertAnswer(t *testing.T, r *fasthttp.Response, status int, text string) {
+	t.Helper()
+	i := is.New(t)
+	i.Equal(r.StatusCode(), status)
+	i.Equal(string(r.Body()), text)
+	i.Equal(string(r.Header.Peek(HeaderOutcome)), "")
+}
+
+func assertRefused(t *testing.T, r *fasthttp.Response, status int, o basillift.Outcome, reason basillift.Reason) {
+	t.Helper()
+	i := is.New(t)
+	i.Equal(r.StatusCode(), status)
+	i.Equal(string(r.Header.Peek(HeaderOutcome)), string(o))
+	i.Equal(string(r.Header.Peek(HeaderReason)), string(reason))
+}
--- /dev/null
+++ b/basillift/blproxy/proxy.go
@@ -0,0 +1,214 @@
+package blproxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+)
+
+// Proxy serves callers and other daemons. Its methods may be called concurrently.
+type Proxy struct {
+	settings  Settings
+	source    basillift.ConfigurationSource
+	directory basillift.Directory
+	target    basillift.LocalTarget
+	observer  basillift.VersionObserver
+	recorder  basillift.Recorder
+	peers     basillift.Peers
+
+	pools    *pools
+	watcher  *watcher
+	caller   *fasthttp.Server
+	mesh     *fasthttp.Server
+	onCaller net.Listener
+	onMesh   net.Listener
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	lastCall atomic.Uint64
+}
+
+// New returns a proxy that is not listening yet.
+func New(s Settings, source basillift.ConfigurationSource, directory basillift.Directory,
+	target basillift.LocalTarget, observer basillift.VersionObserver, recorder basillift.Recorder,
+	peers basillift.Peers,
+) (*Proxy, error) {
+	w, err := newWatcher()
+	if err != nil {
+		return nil, fmt.Errorf("make proxy: %w", err)
+	}
+	p := &Proxy{
+		settings: s, source: source, directory: directory, target: target,
+		observer: observer, recorder: recorder, peers: peers,
+		pools: newPools(s), watcher: w,
+	}
+	p.caller = p.server(p.serveCaller, p.expectCaller)
+	p.mesh = p.server(p.serveMesh, p.expectMesh)
+	return p, nil
+}
+
+// server returns a server that leaves requests and responses as they are.
+func (p *Proxy) server(handle fasthttp.RequestHandler, expect func(*fasthttp.RequestCtx) int) *fasthttp.Server {
+	r := router.New()
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.HandleMethodNotAllowed = false
+	r.HandleOPTIONS = false
+	r.ANY("/{service}", handle)
+	r.ANY("/{service}/{path:*}", handle)
+	r.NotFound = handle
+	return &fasthttp.Server{
+		Handler:                      r.Handler,
+		ExpectHandler:                expect,
+		ErrorHandler:                 refuseMalformed,
+		IdleTimeout:                  90 * time.Second,
+		ReadBufferSize:               bufferBytes,
+		WriteBufferSize:              bufferBytes,
+		MaxRequestBodySize:           fasthttp.DefaultMaxRequestBodySize,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		Logger:                       silent{},
+		Concurrency:                  64 << 10,
+	}
+}
+
+// silent drops fasthttp's log lines: each concerns one connection, and calls are counted instead.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Listen opens both addresses.
+func (p *Proxy) Listen() error {
+	onCaller, err := net.Listen("tcp", p.settings.callerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	onMesh, err := net.Listen("tcp", p.settings.meshAddress)
+	if err != nil {
+		_ = onCaller.Close()
+		return fmt.Errorf("listen for daemons: %w", err)
+	}
+	p.onCaller = &listener{Listener: onCaller, watcher: p.watcher}
+	p.onMesh = &listener{Listener: onMesh, watcher: p.watcher}
+	return nil
+}
+
+// CallerAddress is where callers connect, after Listen.
+func (p *Proxy) CallerAddress() string { return p.onCaller.Addr().String() }
+
+// MeshAddress is where other daemons connect, after Listen.
+func (p *Proxy) MeshAddress() string { return p.onMesh.Addr().String() }
+
+// Run serves until ctx ends and then closes all connections. Drain must come
+// first for a stop that interrupts nobody.
+func (p *Proxy) Run(ctx context.Context) error {
+	failed := make(chan error, 2)
+	var group sync.WaitGroup
+	group.Go(p.watcher.loop)
+	group.Go(func() { failed <- p.caller.Serve(p.onCaller) })
+	group.Go(func() { failed <- p.mesh.Serve(p.onMesh) })
+	group.Go(func() { p.loop(ctx) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	err = errors.Join(err, p.stop())
+	group.Wait()
+	if err != nil {
+		return fmt.Errorf("serve calls: %w", err)
+	}
+	return nil
+}
+
+// loop closes connections that were idle for too long.
+func (p *Proxy) loop(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.pools.sweep(now)
+		}
+	}
+}
+
+// stop closes everything; calls in flight are canceled first.
+func (p *Proxy) stop() error {
+	for _, k := range p.watcher.calls() {
+		k.cancel()
+	}
+	err := errors.Join(p.caller.Shutdown(), p.mesh.Shutdown())
+	p.pools.close()
+	return errors.Join(err, p.watcher.close())
+}
+
+// drainCheck is how often Drain looks whether calls are still in flight.
+const drainCheck = 5 * time.Millisecond
+
+// Drain refuses new calls from other daemons and waits until no call is in
+// flight. When ctx ends first, the remaining calls are cut and their number returned.
+func (p *Proxy) Drain(ctx context.Context) int {
+	p.draining.Store(true)
+	ticker := time.NewTicker(drainCheck)
+	defer ticker.Stop()
+	quiet := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return p.cut()
+		case now := <-ticker.C:
+			if p.inFlight.Load() > 0 {
+				quiet = now
+			}
+			if now.Sub(quiet) >= p.settings.lingerAfterDrain && p.inFlight.Load() == 0 {
+				return 0
+			}
+		}
+	}
+}
+
+func (p *Proxy) cut() int {
+	calls := p.watcher.calls()
+	now := time.Now()
+	for _, k := range calls {
+		p.record(now, RecordRefused, k.event(now, basillift.EventCallCut))
+		k.cancel()
+	}
+	return len(calls)
+}
+
+// InFlight is the number of calls that this daemon handles at the moment, on both sides.
+func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
+
+// callID returns an id that no other call of the mesh has.
+func (p *Proxy) callID(self basillift.Member) string {
+	n := p.lastCall.Add(1)
+	id := append([]byte(self.ID()), '-')
+	id = strconv.AppendUint(id, self.Incarnation(), 36)
+	id = append(id, '-')
+	return string(strconv.AppendUint(id, n, 36))
+}
+
+func (p *Proxy) record(_ time.Time, level Recording, e basillift.Event) {
+	if p.settings.recording == RecordAll || p.settings.recording == level {
+		p.recorder.Record(e)
+	}
+}
