basilliftlab: add the open-loop load client

The promises have to be checked from the callers' side, with latencies that count from the intended send time.

--- a/basilliftlab/commands/root.go
+++ b/basilliftlab/commands/root.go
@@ -66,6 +66,7 @@
 	commands := []command{
 		newPlatformCommand(ctx),
 		newTargetCommand(ctx),
+		newLoadCommand(ctx),
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, c.long+exitCodes, c.data); err != nil {
