Wire the daemon: the whole path from the lists to a target

Cause: the packages need one running program to be measured and attacked. The target's state is ready from the start until the package that polls health and load is merged.

--- a/basillift/bladmin/admin_test.go
+++ b/basillift/bladmin/admin_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blnode"
 	"basillift.dev/basillift/blnotice"
 )
 
@@ -18,8 +19,8 @@
 	drained chan bool
 }
 
-func (f fakeSource) Status(time.Time) Report {
-	return Report{Vm: "vm1", Version: "1.42", Members: []Member{{Vm: "vm2"}}}
+func (f fakeSource) Status(time.Time) blnode.Status {
+	return blnode.Status{Name: "vm1", Version: "1.42", Members: []blnode.MemberStatus{{Name: "vm2"}}}
 }
 func (f fakeSource) Ready() bool { return f.ready }
 func (f fakeSource) Timeline() ([]basillift.Event, uint64) {
@@ -54,7 +55,7 @@
 		report, err := client.Status()
 		is.NoErr(err)
 		is.Equal(report.Version, "1.42")
-		is.Equal(report.Members[0].Vm, "vm2")
+		is.Equal(report.Members[0].Name, "vm2")
 	})
 	t.Run("timeline", func(t *testing.T) {
 		is := is.New(t)
--- a/basillift/bladmin/client.go
+++ b/basillift/bladmin/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blnode"
 	"basillift.dev/basillift/blnotice"
 	"basillift.dev/basillift/bltimeline"
 )
@@ -41,8 +42,8 @@
 }
 
 // Status asks for the daemon's status.
-func (c *Client) Status() (Report, error) {
-	var r Report
+func (c *Client) Status() (blnode.Status, error) {
+	var r blnode.Status
 	err := c.getJSON("/status", &r)
 	return r, err
 }
--- a/basillift/bladmin/doc.go
+++ b/basillift/bladmin/doc.go
@@ -18,5 +18,3 @@
 //	GET  /health    200 while the process answers
 //	GET  /ready     200 when the daemon serves calls, 503 otherwise
 package bladmin
-
-//go:generate sh -c "cd ../../tools && go tool go-jsonschema --only-models --tags json -t -p bladmin -o ../basillift/bladmin/status_gen.go ../schema/status.json"
--- a/basillift/bladmin/server.go
+++ b/basillift/bladmin/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blnode"
 	"basillift.dev/basillift/blnotice"
 	"basillift.dev/basillift/bltimeline"
 )
@@ -22,7 +23,7 @@
 // Source is what a daemon shows to operators.
 type Source interface {
 	// Status describes the daemon.
-	Status(now time.Time) Report
+	Status(now time.Time) blnode.Status
 	// Ready reports whether the daemon serves calls.
 	Ready() bool
 	// Timeline returns the kept events and the number of dropped ones.
--- /dev/null
+++ b/basillift/blnode/encode.go
@@ -0,0 +1,115 @@
+package blnode
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blmember"
+	"basillift.dev/basillift/blrpc"
+)
+
+func formatDigest(d uint64) string { return strconv.FormatUint(d, 16) }
+
+func parseDigest(text string) (uint64, error) {
+	d, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("parse digest: %w", err)
+	}
+	return d, nil
+}
+
+func encodeMember(m basillift.Member) blrpc.Record {
+	return blrpc.Record{
+		Name: string(m.ID()), Incarnation: m.Incarnation(), Sequence: m.Sequence(),
+		Control: m.Addresses().Control(), Mesh: m.Addresses().Mesh(), Admin: m.Addresses().Admin(),
+		Domain: string(m.Place().FailureDomain()), Region: string(m.Place().Region()),
+		Service: m.Service(), State: string(m.State()), Slots: m.Slots(),
+	}
+}
+
+// decodeMember refuses a record without what others need to reach and place the member,
+// and a target state that is not known.
+func decodeMember(r blrpc.Record) (basillift.Member, bool) {
+	state := basillift.TargetState(r.State)
+	switch state {
+	case basillift.TargetStarting, basillift.TargetReady, basillift.TargetShedding,
+		basillift.TargetDraining, basillift.TargetGone:
+	default:
+		return basillift.Member{}, false
+	}
+	if r.Name == "" || r.Control == "" || r.Domain == "" {
+		return basillift.Member{}, false
+	}
+	m := basillift.NewMember(basillift.VMID(r.Name), r.Incarnation,
+		basillift.NewAddresses(r.Control, r.Mesh, r.Admin),
+		basillift.NewPlace(basillift.FailureDomain(r.Domain), basillift.Region(r.Region)), r.Service, r.Slots)
+	return m.WithState(state).WithOrder(r.Incarnation, r.Sequence), true
+}
+
+func encodeMembers(members []basillift.Member) []blrpc.Record {
+	records := make([]blrpc.Record, 0, len(members))
+	for _, m := range members {
+		records = append(records, encodeMember(m))
+	}
+	return records
+}
+
+func decodeMembers(records []blrpc.Record) []basillift.Member {
+	members := make([]basillift.Member, 0, len(records))
+	for _, r := range records {
+		if m, ok := decodeMember(r); ok {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func encodeClaims(claims []blmember.Claim) []blrpc.Claim {
+	encoded := make([]blrpc.Claim, 0, len(claims))
+	for _, c := range claims {
+		encoded = append(encoded, blrpc.Claim{
+			Kind: string(c.Kind()), Name: string(c.ID()), Domain: string(c.Domain()),
+			Incarnation: c.Incarnation(), Revision: c.Revision(),
+		})
+	}
+	return encoded
+}
+
+func decodeClaims(encoded []blrpc.Claim) []blmember.Claim {
+	claims := make([]blmember.Claim, 0, len(encoded))
+	for _, c := range encoded {
+		if c.Domain != "" {
+			claims = append(claims, blmember.NewDomainClaim(blmember.ClaimKind(c.Kind), basillift.FailureDomain(c.Domain), c.Revision))
+			continue
+		}
+		claims = append(claims, blmember.NewClaim(blmember.ClaimKind(c.Kind), basillift.VMID(c.Name), c.Incarnation, c.Revision))
+	}
+	return claims
+}
+
+func encodeExchange(fd basillift.FailureDomain, records []basillift.Member, claims []blmember.Claim) blrpc.Exchange {
+	return blrpc.Exchange{Domain: string(fd), Records: encodeMembers(records), Claims: encodeClaims(claims)}
+}
+
+// encodeDigests sorts by failure domain, so that an unchanged list compresses to a few bytes.
+func encodeDigests(digests blmember.Digests) []blrpc.Digest {
+	encoded := make([]blrpc.Digest, 0, len(digests))
+	for fd, d := range digests {
+		encoded = append(encoded, blrpc.Digest{Domain: string(fd), Digest: formatDigest(d)})
+	}
+	slices.SortFunc(encoded, func(a, b blrpc.Digest) int { return strings.Compare(a.Domain, b.Domain) })
+	return encoded
+}
+
+func decodeDigests(encoded []blrpc.Digest) blmember.Digests {
+	digests := make(blmember.Digests, len(encoded))
+	for _, d := range encoded {
+		if value, err := parseDigest(d.Digest); err == nil {
+			digests[basillift.FailureDomain(d.Domain)] = value
+		}
+	}
+	return digests
+}
--- /dev/null
+++ b/basillift/blnode/greet.go
@@ -0,0 +1,153 @@
+package blnode
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllist"
+	"basillift.dev/basillift/blmember"
+	"basillift.dev/basillift/blrpc"
+)
+
+const (
+	// greetFirst is the time between two rounds of first contacts while the daemon still
+	// asks its peers; greetLast that between two attempts at seeds that belong to no
+	// living member, which heals a partition that was there from the start.
+	greetFirst = 250 * time.Millisecond
+	greetLast  = 10 * time.Second
+	// greetBatch bounds the contacts of one round.
+	greetBatch = 4
+	// listTimeout bounds the read of the VM list for first contacts.
+	listTimeout = time.Second
+)
+
+// greeting finds the first peers of a daemon and, later, members that it lost touch with.
+type greeting struct {
+	node   *Node
+	random *rand.Rand
+	listed []string
+}
+
+func newGreeting(n *Node) *greeting { return &greeting{node: n, random: n.fork()} }
+
+func (g *greeting) loop(ctx context.Context) {
+	defer g.node.tasks.Done()
+	for {
+		g.round(ctx)
+		wait := greetLast
+		if !g.node.joined(ctx) {
+			wait = greetFirst
+		}
+		if !pause(ctx, wait/2+time.Duration(g.random.Int63n(int64(wait)))) {
+			return
+		}
+	}
+}
+
+func (n *Node) joined(ctx context.Context) bool {
+	asked, _ := ask(ctx, n, n.join.Asked)
+	return asked
+}
+
+// round greets addresses of which no living member is known.
+func (g *greeting) round(ctx context.Context) {
+	known := g.addresses()
+	if len(known) <= 1 && len(g.listed) == 0 {
+		g.list(ctx)
+	}
+	contacts := g.choose(known)
+	for _, address := range contacts {
+		g.greet(ctx, address)
+	}
+	if !g.node.joined(ctx) && len(contacts) == 0 {
+		g.askMember(ctx)
+	}
+}
+
+func (g *greeting) addresses() map[string]bool {
+	known := map[string]bool{}
+	for _, s := range g.node.Members() {
+		if s.Liveness() != basillift.LivenessDead {
+			known[s.Member().Addresses().Control()] = true
+		}
+	}
+	return known
+}
+
+func (g *greeting) choose(known map[string]bool) []string {
+	var contacts []string
+	for _, address := range append(append([]string{}, g.node.seeds...), g.listed...) {
+		if !known[address] {
+			known[address] = true
+			contacts = append(contacts, address)
+		}
+	}
+	g.random.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	return contacts[:min(greetBatch, len(contacts))]
+}
+
+// list reads the platform's VM list when the seeds gave no contact.
+func (g *greeting) list(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	value, err := g.node.platform.Read(limited, basillift.KeyVMs)
+	if err != nil {
+		return
+	}
+	list, err := bllist.ParseVMs(value.Data())
+	if err != nil {
+		return
+	}
+	for _, e := range list {
+		if basillift.VMID(e.Name) != g.node.Self().ID() {
+			g.listed = append(g.listed, e.Address)
+		}
+	}
+}
+
+func (g *greeting) greet(ctx context.Context, address string) {
+	limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	peer, err := g.node.pool.Greet(limited, address)
+	if err != nil {
+		return
+	}
+	g.exchange(limited, peer)
+	g.node.pool.Release(peer)
+}
+
+// exchange takes all records of a peer at once, since a daemon that starts knows none.
+func (g *greeting) exchange(ctx context.Context, peer basillift.VMID) {
+	n := g.node
+	message := encodeExchange("", []basillift.Member{n.Self()}, nil)
+	var answer blrpc.Exchange
+	if err := n.pool.Call(ctx, peer, blrpc.MethodExchange, message, &answer); err != nil {
+		return
+	}
+	n.put(ctx, func(now time.Time) {
+		n.perform(now, n.members.Apply(now, blmember.Exchanged(peer, decodeMembers(answer.Records), decodeClaims(answer.Claims))))
+	})
+}
+
+// askMember asks one more member for its version, in another failure domain where possible.
+func (g *greeting) askMember(ctx context.Context) {
+	var near, far []basillift.VMID
+	self := g.node.Self()
+	for _, s := range g.node.Members() {
+		m := s.Member()
+		switch {
+		case m.ID() == self.ID() || s.Liveness() == basillift.LivenessDead || m.State() == basillift.TargetGone:
+		case m.Place().FailureDomain() == self.Place().FailureDomain():
+			near = append(near, m.ID())
+		default:
+			far = append(far, m.ID())
+		}
+	}
+	for _, ids := range [][]basillift.VMID{far, near} {
+		if len(ids) > 0 {
+			g.node.start(&probing{node: g.node, peer: ids[g.random.Intn(len(ids))]})
+		}
+	}
+}
--- /dev/null
+++ b/basillift/blnode/status.go
@@ -0,0 +1,109 @@
+package blnode
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"basillift.dev/basillift"
+)
+
+// purposes lists all purposes in the order of reports.
+func purposes() []basillift.Purpose {
+	return []basillift.Purpose{
+		basillift.PurposeConfiguration, basillift.PurposeMembership, basillift.PurposeTarget, basillift.PurposeRepair,
+	}
+}
+
+// Status returns what the daemon tells operators about itself, at most one tick old.
+func (n *Node) Status() Status {
+	if s := n.status.Load(); s != nil {
+		return *s
+	}
+	return Status{Name: string(n.Self().ID())}
+}
+
+func (n *Node) writeStatus(now time.Time) {
+	self, view := n.members.Self(), n.board.View()
+	s := Status{
+		Name: string(self.ID()), Incarnation: self.Incarnation(),
+		Domain: string(self.Place().FailureDomain()), Region: string(self.Place().Region()),
+		Service: self.Service(), State: string(self.State()),
+		Ready: n.Ready(), Verified: n.members.Verified(),
+		Version: n.holder.Version().String(), Digest: formatDigest(n.heldDigest()),
+		Newest: n.relay.Newest().String(), Peers: n.pool.Connections(), Reader: n.reader != nil,
+		Readers: []string{}, Members: []MemberStatus{}, Cut: []string{}, Platform: n.platformStatus(now),
+	}
+	if held := n.holder.Current(); held != nil {
+		s.Age, s.Customers = now.Sub(n.holder.Since()).Seconds(), held.Customers()
+	}
+	if c, found := n.holder.Conflict(); found {
+		s.Conflict = formatDigest(c.Digest())
+	}
+	for _, id := range view.Order().Readers(self.Place().FailureDomain()) {
+		s.Readers = append(s.Readers, string(id))
+	}
+	for _, fd := range view.Cut() {
+		s.Cut = append(s.Cut, string(fd))
+	}
+	for _, m := range n.board.Members() {
+		s.Members = append(s.Members, memberStatus(m))
+	}
+	for _, p := range purposes() {
+		s.Bytes = append(s.Bytes, ByteStatus{
+			Purpose: string(p), Sent: n.Counters().Sent(p), Received: n.Counters().Received(p),
+		})
+	}
+	n.status.Store(&s)
+}
+
+func memberStatus(s basillift.Status) MemberStatus {
+	m := s.Member()
+	return MemberStatus{
+		Name: string(m.ID()), Domain: string(m.Place().FailureDomain()), Service: m.Service(),
+		State: string(m.State()), Liveness: string(s.Liveness()), Leaving: s.Leaving(),
+		Admin: m.Addresses().Admin(), Mesh: m.Addresses().Mesh(),
+	}
+}
+
+func (n *Node) platformStatus(now time.Time) PlatformStatus {
+	s := PlatformStatus{Problem: n.refused.problem}
+	if !n.refused.version.IsZero() {
+		s.Refused = n.refused.version.String()
+	}
+	if n.reader != nil {
+		c, lasted := n.reader.condition(now)
+		s.Condition, s.Lasted = string(c), lasted.Seconds()
+	}
+	return s
+}
+
+func (n *Node) newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	for _, p := range purposes() {
+		set.NewGauge(fmt.Sprintf(`basillift_control_sent_bytes_total{purpose=%q}`, p), func() float64 {
+			return float64(n.Counters().Sent(p))
+		})
+		set.NewGauge(fmt.Sprintf(`basillift_control_received_bytes_total{purpose=%q}`, p), func() float64 {
+			return float64(n.Counters().Received(p))
+		})
+	}
+	set.NewGauge(`basillift_control_connections`, func() float64 { return float64(n.pool.Connections()) })
+	set.NewGauge(`basillift_control_dropped_messages_total`, func() float64 {
+		return float64(n.dropped.Load() + n.Counters().Dropped())
+	})
+	set.NewGauge(`basillift_version_epoch`, func() float64 { return float64(n.held.Load().Epoch()) })
+	set.NewGauge(`basillift_version_revision`, func() float64 { return float64(n.held.Load().Revision()) })
+	set.NewGauge(`basillift_members`, func() float64 { return float64(len(n.Members())) })
+	set.NewGauge(`basillift_reader`, func() float64 { return boolean(n.reading.Load()) })
+	set.NewGauge(`basillift_ready`, func() float64 { return boolean(n.Ready()) })
+	return set
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/basillift/blnotice/detect_test.go
@@ -0,0 +1,49 @@
+package blnotice
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+func member(id basillift.VMID, service string, s basillift.TargetState, l basillift.Liveness) basillift.Status {
+	m := basillift.NewMember(id, 1, basillift.Addresses{}, basillift.Place{}, service, 1).WithState(s)
+	return basillift.NewStatus(m, l, false)
+}
+
+// Guards against conditions that are missed, or that alert for what mends itself.
+func TestDetect(t *testing.T) {
+	ready := member("a", "orders", basillift.TargetReady, basillift.LivenessAlive)
+	dead := member("b", "orders", basillift.TargetReady, basillift.LivenessDead)
+	view := NewView("a", []string{"orders", "unused"}, []basillift.Status{ready, dead})
+	cases := []struct {
+		name string
+		view View
+		want string
+	}{
+		{"all is well", view, ""},
+		{"no willing target", NewView("a", []string{"orders"}, []basillift.Status{dead}), "service-without-target orders"},
+		{"short platform outage", view.WithPlatform(PlatformUnreachable, time.Second), ""},
+		{"long platform outage", view.WithPlatform(PlatformUnreachable, time.Minute), "platform-unreachable platform"},
+		{"numbering back", view.WithPlatform(PlatformBack, 0), "numbering-back platform"},
+		{"refused", view.WithRefused("plans: plans.0.rate: found -1"), "version-refused lists"},
+		{"cut off", view.WithCut([]string{"bangor"}), "failure-domain-cut-off bangor"},
+		{"quarantined", view.WithQuarantined([]string{"ff"}), "request-quarantined ff"},
+		{"briefly behind", view.WithBehind(time.Second), ""},
+		{"behind", view.WithBehind(time.Minute), "daemons-behind mesh"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var got []string
+			for _, d := range Detect(c.view) {
+				got = append(got, string(d.Kind())+" "+d.Subject())
+				is.New(t).True(d.Detail() != "" && d.Kind().Action() != "")
+			}
+			is.New(t).Equal(strings.Join(got, "; "), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/basillift/blrelay/order.go
@@ -0,0 +1,162 @@
+package blrelay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basillift.dev/basillift"
+)
+
+const (
+	// fanOut is the number of children of a tree node. With 8, a failure domain of
+	// 171 daemons has depth 3, and a daemon has at most 9 tree connections.
+	fanOut = 8
+	// readerCount is the number of members of a failure domain that read the
+	// platform. Two keep reading through the death of one.
+	readerCount = 2
+)
+
+// Order is the arrangement of the members that take part in distribution. It never changes.
+type Order struct {
+	names   []basillift.FailureDomain
+	domains map[basillift.FailureDomain][]basillift.VMID
+	places  map[basillift.VMID]position
+}
+
+type position struct {
+	domain basillift.FailureDomain
+	index  int
+}
+
+type hashed struct {
+	id   basillift.VMID
+	hash uint64
+}
+
+// NewOrder arranges the given members; the caller leaves out dead and gone ones.
+func NewOrder(members []basillift.Member) *Order {
+	byDomain := map[basillift.FailureDomain][]hashed{}
+	for _, m := range members {
+		fd := m.Place().FailureDomain()
+		byDomain[fd] = append(byDomain[fd], hashed{id: m.ID(), hash: xxhash.Sum64String(string(m.ID()))})
+	}
+	o := &Order{
+		domains: make(map[basillift.FailureDomain][]basillift.VMID, len(byDomain)),
+		places:  make(map[basillift.VMID]position, len(members)),
+	}
+	for fd, entries := range byDomain {
+		o.names = append(o.names, fd)
+		o.place(fd, entries)
+	}
+	slices.Sort(o.names)
+	return o
+}
+
+func (o *Order) place(fd basillift.FailureDomain, entries []hashed) {
+	slices.SortFunc(entries, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]basillift.VMID, len(entries))
+	for i, e := range entries {
+		ids[i] = e.id
+		o.places[e.id] = position{domain: fd, index: i}
+	}
+	o.domains[fd] = ids
+}
+
+// Domains returns the failure domains that have members, sorted.
+func (o *Order) Domains() []basillift.FailureDomain { return o.names }
+
+// Domain returns the members of a failure domain in order. The caller must not change them.
+func (o *Order) Domain(fd basillift.FailureDomain) []basillift.VMID { return o.domains[fd] }
+
+// Len is the number of members that take part.
+func (o *Order) Len() int { return len(o.places) }
+
+// Contains reports whether the member takes part.
+func (o *Order) Contains(id basillift.VMID) bool {
+	_, found := o.places[id]
+	return found
+}
+
+// Readers returns the members of a failure domain that read the platform.
+func (o *Order) Readers(fd basillift.FailureDomain) []basillift.VMID {
+	ids := o.domains[fd]
+	return ids[:min(readerCount, len(ids))]
+}
+
+// IsReader reports whether the member reads the platform.
+func (o *Order) IsReader(id basillift.VMID) bool {
+	p, found := o.places[id]
+	return found && p.index < readerCount
+}
+
+// IsHead reports whether the member is the first of its failure domain.
+func (o *Order) IsHead(id basillift.VMID) bool {
+	p, found := o.places[id]
+	return found && p.index == 0
+}
+
+// Heads returns the heads of all failure domains but the given one, in order of domain.
+func (o *Order) Heads(except basillift.FailureDomain) []basillift.VMID {
+	var heads []basillift.VMID
+	for _, fd := range o.names {
+		if fd != except {
+			heads = append(heads, o.domains[fd][0])
+		}
+	}
+	return heads
+}
+
+// Neighbours returns the member's parent and children in the tree of its failure domain.
+func (o *Order) Neighbours(id basillift.VMID) []basillift.VMID {
+	p, found := o.places[id]
+	if !found {
+		return nil
+	}
+	ids := o.domains[p.domain]
+	var neighbours []basillift.VMID
+	if p.index > 0 {
+		neighbours = append(neighbours, ids[(p.index-1)/fanOut])
+	}
+	for i := p.index*fanOut + 1; i <= p.index*fanOut+fanOut && i < len(ids); i++ {
+		neighbours = append(neighbours, ids[i])
+	}
+	return neighbours
+}
+
+// Links returns the tree neighbours and, for a head, the other heads: the peers to
+// which records are flooded.
+func (o *Order) Links(id basillift.VMID) []basillift.VMID {
+	links := o.Neighbours(id)
+	if o.IsHead(id) {
+		links = append(links, o.Heads(o.places[id].domain)...)
+	}
+	return links
+}
+
+// Successors returns up to n members that follow in the ring of the failure domain.
+func (o *Order) Successors(id basillift.VMID, n int) []basillift.VMID {
+	return o.around(id, n, 1)
+}
+
+// Predecessors returns up to n members that precede in the ring of the failure domain.
+func (o *Order) Predecessors(id basillift.VMID, n int) []basillift.VMID {
+	return o.around(id, n, -1)
+}
+
+func (o *Order) around(id basillift.VMID, n, step int) []basillift.VMID {
+	p, found := o.places[id]
+	if !found {
+		return nil
+	}
+	ids := o.domains[p.domain]
+	n = min(n, len(ids)-1)
+	result := make([]basillift.VMID, 0, max(n, 0))
+	for i := 1; i <= n; i++ {
+		result = append(result, ids[(p.index+step*i+len(ids))%len(ids)])
+	}
+	return result
+}
--- a/basilliftd/main.go
+++ b/basilliftd/main.go
@@ -1,4 +1,111 @@
-// Command basilliftd is part of basillift.
+// Command basilliftd is the daemon that runs on every target VM. It proxies
+// calls, speaks for the VM's target, relays configuration and is a member of the mesh.
+//
+// # Usage
+//
+//	basilliftd --settings FILE          run until SIGTERM or SIGINT
+//	basilliftd --settings FILE --check  check the settings and exit
+//
+// The program only wires packages together; it decides nothing. Exit codes: 0
+// ended in order, 1 failed or cut calls while stopping, 2 wrong flags, 3
+// settings refused, 4 could not listen.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/blsettings"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
+	exitListen   = 4
+)
+
+type options struct {
+	Settings  string `long:"settings" value-name:"FILE" description:"settings of this daemon, JSON with comments"`
+	Check     bool   `long:"check" description:"check the settings and exit"`
+	Reference bool   `long:"reference" description:"print the page docs/settings.md and exit"`
+	Events    bool   `long:"events" description:"print the page docs/events.md and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(arguments []string) int {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	parser.LongDescription = "Example: basilliftd --settings /etc/basillift/daemon.json"
+	rest, err := parser.ParseArgs(arguments)
+	if flags.WroteHelp(err) {
+		return exitOK
+	}
+	if err != nil || len(rest) > 0 {
+		return exitUsage
+	}
+	switch {
+	case o.Reference:
+		return printReference()
+	case o.Events:
+		fmt.Print(bllog.Page())
+		return exitOK
+	case o.Settings == "":
+		fmt.Fprintln(os.Stderr, "basilliftd: flag --settings: found nothing, allowed is a file")
+		return exitUsage
+	}
+	settings, err := blsettings.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "basilliftd:", err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println("settings ok")
+		return exitOK
+	}
+	return serve(settings)
+}
+
+func printReference() int {
+	page, err := blsettings.Reference()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "basilliftd:", err)
+		return exitFailed
+	}
+	fmt.Print(page)
+	return exitOK
+}
+
+func serve(settings blsettings.Settings) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	log, err := bllog.New(os.Stderr, settings.Level(), settings.Name())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "basilliftd:", err)
+		return exitSettings
+	}
+	d, err := build(settings, log)
+	if err == nil {
+		err = d.run(ctx)
+	}
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errListen):
+		log.Failure(bllog.ListenFailed(), err)
+		return exitListen
+	default:
+		log.Failure(bllog.StartFailed(), err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/basilliftd/run.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/blnode"
+	"basillift.dev/basillift/blnotice"
+	"basillift.dev/basillift/blproxy"
+	"basillift.dev/basillift/blsettings"
+	"basillift.dev/basillift/bltimeline"
+)
+
+// leaveTimeout bounds the announcement that the target is gone.
+const leaveTimeout = 2 * time.Second
+
+// daemon holds the parts that run.
+type daemon struct {
+	settings blsettings.Settings
+	log      *bllog.Logger
+	timeline *bltimeline.Log
+	node     *blnode.Node
+	proxy    *blproxy.Proxy
+	notices  *blnotice.Service
+	admin    *bladmin.Server
+	tasks    sync.WaitGroup
+	failed   chan error
+}
+
+func newDaemon(s blsettings.Settings, l *bllog.Logger, timeline *bltimeline.Log, n *blnode.Node,
+	p *blproxy.Proxy, notices *blnotice.Service, admin *bladmin.Server,
+) *daemon {
+	return &daemon{
+		settings: s, log: l, timeline: timeline, node: n, proxy: p, notices: notices, admin: admin,
+		failed: make(chan error, 4),
+	}
+}
+
+// run serves until ctx ends or a part fails, and then stops in order.
+func (d *daemon) run(ctx context.Context) error {
+	if err := d.proxy.Listen(); err != nil {
+		return fmt.Errorf("proxy: %w", errors.Join(errListen, err))
+	}
+	admin, err := net.Listen("tcp", d.settings.Addresses().Admin())
+	if err != nil {
+		return fmt.Errorf("admin: %w", errors.Join(errListen, err))
+	}
+	serving, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.start(func() error { return d.node.Run(serving) })
+	d.start(func() error { return d.proxy.Run(serving) })
+	d.start(func() error { return d.admin.Run(admin) })
+	d.start(func() error { d.notices.Run(serving); return nil })
+	d.node.SetState(basillift.TargetReady)
+	d.log.Event(bllog.Started()).Str("domain", string(d.settings.Place().FailureDomain())).Send()
+	select {
+	case <-ctx.Done():
+	case err = <-d.failed:
+	}
+	return errors.Join(err, d.stop(cancel))
+}
+
+// start runs one duty of the daemon.
+func (d *daemon) start(run func() error) {
+	d.tasks.Go(func() {
+		if err := run(); err != nil {
+			d.failed <- err
+		}
+	})
+}
+
+// stop announces that the target drains, waits for the calls in flight, leaves the mesh and ends all
+// duties.
+func (d *daemon) stop(cancel context.CancelFunc) error {
+	now := time.Now()
+	d.log.Event(bllog.Stopping()).Send()
+	d.timeline.Record(basillift.NewEvent(now, basillift.EventStopping))
+	d.node.SetState(basillift.TargetDraining)
+	draining, done := context.WithTimeout(context.Background(), d.settings.Drain())
+	defer done()
+	cut := d.proxy.Drain(draining)
+	leaving, left := context.WithTimeout(context.Background(), leaveTimeout)
+	defer left()
+	err := d.node.Leave(leaving)
+	d.timeline.Record(basillift.NewEvent(time.Now(), basillift.EventStopped).WithOutcome("", "", cut))
+	err = errors.Join(err, d.admin.Stop())
+	cancel()
+	d.tasks.Wait()
+	if cut > 0 {
+		d.log.Event(bllog.StopCut()).Int("calls", cut).Send()
+		return errors.Join(err, fmt.Errorf("%d calls in flight: %w", cut, errCut))
+	}
+	d.log.Event(bllog.Stopped()).Send()
+	if err != nil {
+		return fmt.Errorf("stop daemon: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/basilliftd/source.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blnode"
+	"basillift.dev/basillift/blnotice"
+	"basillift.dev/basillift/bltimeline"
+)
+
+// source joins what the parts show to operators.
+type source struct {
+	node     *blnode.Node
+	timeline *bltimeline.Log
+	notices  *blnotice.Service
+}
+
+func newSource(n *blnode.Node, timeline *bltimeline.Log, notices *blnotice.Service) *source {
+	return &source{node: n, timeline: timeline, notices: notices}
+}
+
+// Status describes the daemon.
+func (s *source) Status(time.Time) blnode.Status { return s.node.Status() }
+
+// Ready reports whether the daemon serves calls.
+func (s *source) Ready() bool { return s.node.Ready() }
+
+// Timeline returns the kept events and the number of dropped ones.
+func (s *source) Timeline() ([]basillift.Event, uint64) { return s.timeline.Events() }
+
+// Notices returns the open matters that this daemon has sent.
+func (s *source) Notices() []blnotice.Message { return s.notices.Open() }
+
+// Drain begins to drain the VM's target.
+func (s *source) Drain() { s.node.SetState(basillift.TargetDraining) }
+
+// Explain says step by step where a call would go.
+func (s *source) Explain(time.Time, string, string, string) []string { return nil }
+
+// viewOf collects what conditions are detected from.
+func viewOf(n *blnode.Node) blnotice.View {
+	status := n.Status()
+	var services []string
+	if held, ok := n.Current(); ok {
+		services = held.Services()
+	}
+	lasted := time.Duration(status.Platform.Lasted * float64(time.Second))
+	return blnotice.NewView(n.Self().ID(), services, n.Members()).
+		WithPlatform(blnotice.PlatformState(status.Platform.Condition), lasted).
+		WithRefused(status.Platform.Problem).
+		WithCut(status.Cut)
+}
--- /dev/null
+++ b/basilliftd/wire.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/blnode"
+	"basillift.dev/basillift/blnotice"
+	"basillift.dev/basillift/blplatform"
+	"basillift.dev/basillift/blproxy"
+	"basillift.dev/basillift/blsettings"
+	"basillift.dev/basillift/bltimeline"
+)
+
+var (
+	errListen = eris.New("could not listen")
+	errCut    = eris.New("stop cut calls")
+)
+
+// build makes all parts of the daemon.
+func build(settings blsettings.Settings, log *bllog.Logger) (*daemon, error) {
+	c := dig.New()
+	constructors := []any{
+		func() blsettings.Settings { return settings },
+		func() *bllog.Logger { return log },
+		func() basillift.Member { return settings.Member(time.Now()) },
+		newTimeline, newPlatform, newNode, newProxy, newNotices, newSource, newAdmin, newDaemon,
+	}
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return nil, fmt.Errorf("wire daemon: %w", err)
+		}
+	}
+	var built *daemon
+	if err := c.Invoke(func(d *daemon) { built = d }); err != nil {
+		return nil, fmt.Errorf("build daemon: %w", dig.RootCause(err))
+	}
+	return built, nil
+}
+
+func newTimeline(self basillift.Member) *bltimeline.Log {
+	return bltimeline.NewLog(self.ID(), self.Incarnation(), bltimeline.DefaultSize)
+}
+
+func newPlatform(s blsettings.Settings) (basillift.Platform, error) {
+	client, err := blplatform.NewClient(s.Platform())
+	if err != nil {
+		return nil, fmt.Errorf("platform client: %w", err)
+	}
+	return client, nil
+}
+
+func newNode(s blsettings.Settings, self basillift.Member, p basillift.Platform, timeline *bltimeline.Log) (*blnode.Node, error) {
+	node, err := blnode.New(self, s.Seeds(), p, timeline)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	return node, nil
+}
+
+func newProxy(s blsettings.Settings, n *blnode.Node, timeline *bltimeline.Log) (*blproxy.Proxy, error) {
+	limits := blproxy.NewSettings(s.Caller(), s.Addresses().Mesh(), s.Target()).
+		WithTimeouts(s.Timeout(), s.Longest()).
+		WithRecording(blproxy.Recording(s.Trace()))
+	proxy, err := blproxy.New(limits, n, n, n, n, timeline, n)
+	if err != nil {
+		return nil, fmt.Errorf("proxy: %w", err)
+	}
+	return proxy, nil
+}
+
+func newNotices(s blsettings.Settings, n *blnode.Node, timeline *bltimeline.Log, log *bllog.Logger) *blnotice.Service {
+	detect := func(now time.Time) []blnotice.Condition { return blnotice.Detect(viewOf(n)) }
+	service := blnotice.NewService(n, n, timeline, log, detect, s.Notify())
+	n.Handle(blnotice.MethodCondition, func(_ context.Context, _ basillift.VMID, params json.RawMessage) (any, error) {
+		return service.Handle(time.Now(), params)
+	})
+	return service
+}
+
+func newAdmin(s *source) *bladmin.Server { return bladmin.NewServer(s) }
