--- a/basillift/blconfig/holder_test.go
+++ b/basillift/blconfig/holder_test.go
@@ -76,3 +76,72 @@
 	is.NoErr(err)
 	is.Equal(Diff(decoded, applied).Changes(), 0)
 }
+
+// Guards against a conflict that is swapped silently, or that never ends.
+func TestConflict(t *testing.T) {
+	start := time.Unix(1000, 0)
+	held := snapshot(t, 5, map[string]string{"kobuleti": "basic"})
+	other := snapshot(t, 5, map[string]string{"kobuleti": "full"})
+	conflicting := func(t *testing.T) *Holder {
+		h := NewHolder()
+		h.Offer(start, held)
+		is.New(t).Equal(h.Observe(start.Add(time.Second), other.Version(), other.Digest()), DecisionConflict)
+		return h
+	}
+	t.Run("is recorded", func(t *testing.T) {
+		is := is.New(t)
+		c, open := conflicting(t).Conflict()
+		is.True(open)
+		is.Equal(c.Since(), start.Add(time.Second))
+		is.Equal(c.Digest(), other.Digest())
+	})
+	t.Run("reader holds the other content", func(t *testing.T) {
+		is := is.New(t)
+		h := conflicting(t)
+		is.Equal(h.Settle(start, other), DecisionAdopt)
+		_, open := h.Conflict()
+		is.True(!open)
+		is.Equal(h.Current(), other)
+	})
+	t.Run("no conflict, no swap", func(t *testing.T) {
+		is := is.New(t)
+		h := NewHolder()
+		h.Offer(start, held)
+		is.Equal(h.Settle(start, other), DecisionConflict)
+		is.Equal(h.Current(), held)
+	})
+	t.Run("newer version ends it", func(t *testing.T) {
+		is := is.New(t)
+		h := conflicting(t)
+		is.Equal(h.Offer(start, snapshot(t, 6, nil)), DecisionAdopt)
+		_, open := h.Conflict()
+		is.True(!open)
+	})
+}
+
+// Guards against a history that grows without end or reaches back too far.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder()
+	for i := range uint64(HistorySize + 5) {
+		h.Offer(time.Unix(1000, 0), snapshot(t, i+1, map[string]string{"kobuleti": "basic"}))
+	}
+	is.Equal(h.History().Len(), HistorySize)
+	_, ok := h.History().DeltaFrom(basillift.NewVersion(1, 4))
+	is.True(!ok)
+	d, ok := h.History().DeltaFrom(basillift.NewVersion(1, 5))
+	is.True(ok)
+	is.Equal(d.To(), h.Version())
+}
+
+// Guards against readers that see an older version after a newer one, in any order of calls.
+func TestStore(t *testing.T) {
+	is := is.New(t)
+	s := NewStore()
+	_, ok := s.Current()
+	is.True(!ok)
+	is.True(s.Set(snapshot(t, 5, nil)))
+	is.True(!s.Set(snapshot(t, 4, nil)))
+	current, _ := s.Current()
+	is.Equal(current.Version(), basillift.NewVersion(1, 5))
+}
--- a/basillift/bllist/split.go
+++ b/basillift/bllist/split.go
@@ -33,7 +33,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("split customers: %w", err)
 	}
-	return append(plans, customers...), nil
+	entries := append(plans, customers...)
+	for _, e := range entries {
+		if len(e.data) > limit {
+			return nil, eris.Errorf("%s needs %d bytes, at most %d are allowed", e.key, len(e.data), limit)
+		}
+	}
+	return entries, nil
 }
 
 func splitCustomers(l Lists, limit int) ([]Entry, error) {
--- /dev/null
+++ b/basillift/blplatform/client_test.go
@@ -0,0 +1,128 @@
+package blplatform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllist"
+)
+
+// answer is what the platform answers to each request of one test.
+type answer struct {
+	status int
+	mod    string
+	store  string
+	body   string
+	length string
+}
+
+func (a answer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	for h, v := range map[string]string{HeaderMod: a.mod, HeaderStore: a.store, "Content-Length": a.length} {
+		if v != "" {
+			w.Header().Set(h, v)
+		}
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write([]byte(a.body))
+}
+
+func serve(t *testing.T, h http.Handler, options ...Option) *Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	c, err := NewClient(server.URL, options...)
+	is.New(t).NoErr(err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against taking an answer for a value that is not one.
+func TestReadRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer answer
+		want   error
+	}{
+		{"absent", answer{status: 404, store: "9"}, basillift.ErrNotFound},
+		{"budget", answer{status: 429}, ErrBudget},
+		{"budget is unavailable", answer{status: 429}, basillift.ErrUnavailable},
+		{"outage", answer{status: 503}, basillift.ErrUnavailable},
+		{"other status", answer{status: 302}, ErrProtocol},
+		{"no mod", answer{status: 200, store: "9"}, ErrProtocol},
+		{"no store", answer{status: 200, mod: "3"}, ErrProtocol},
+		{"negative mod", answer{status: 200, mod: "-3", store: "9"}, ErrProtocol},
+		{"mod 0", answer{status: 200, mod: "0", store: "9"}, ErrProtocol},
+		{"mod above store", answer{status: 200, mod: "10", store: "9"}, ErrProtocol},
+		{"body above the limit", answer{status: 200, mod: "3", store: "9", body: strings.Repeat("x", bllist.MaxValue+1)}, ErrProtocol},
+		{"truncated body", answer{status: 200, mod: "3", store: "9", body: "{", length: "50"}, basillift.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := serve(t, c.answer).Read(context.Background(), "customers")
+			is.New(t).True(errors.Is(err, c.want))
+		})
+	}
+	t.Run("no server", func(t *testing.T) {
+		server := httptest.NewServer(http.NotFoundHandler())
+		server.Close()
+		c, err := NewClient(server.URL)
+		is := is.New(t)
+		is.NoErr(err)
+		_, err = c.Read(context.Background(), "customers")
+		is.True(errors.Is(err, basillift.ErrUnavailable))
+	})
+}
+
+// Guards against a request that differs from the protocol, and against lost parts of its answer.
+func TestRequests(t *testing.T) {
+	var requested string
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requested = r.Method + " " + r.URL.String()
+		answer{status: 200, mod: "3", store: "9", body: "{}"}.ServeHTTP(w, r)
+	})
+	c := serve(t, handler, WithWait(7*time.Second))
+	t.Run("read", func(t *testing.T) {
+		is := is.New(t)
+		v, err := c.Read(context.Background(), "customers.1")
+		is.NoErr(err)
+		is.Equal(requested, "GET /v1/keys/customers.1")
+		is.Equal(v, basillift.NewValue("customers.1", []byte("{}"), 3, 9))
+	})
+	t.Run("watch", func(t *testing.T) {
+		is := is.New(t)
+		_, err := c.Watch(context.Background(), "plans", 3)
+		is.NoErr(err)
+		is.Equal(requested, "GET /v1/keys/plans?wait=7&watch=3")
+	})
+	t.Run("key with other characters", func(t *testing.T) {
+		for _, k := range []string{"", "..", "a/b", "a?watch=1", "a b"} {
+			_, err := c.Read(context.Background(), k)
+			is.New(t).True(err != nil)
+		}
+	})
+	t.Run("URL without a host", func(t *testing.T) {
+		for _, u := range []string{"", "platform:2400", "ftp://platform", "http://"} {
+			_, err := NewClient(u)
+			is.New(t).True(err != nil)
+		}
+	})
+}
+
+// Guards against a watch that outlives the daemon's interest in it.
+func TestCancelledWatch(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	blocked := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	})
+	_, err := serve(t, blocked).Watch(ctx, "plans", 3)
+	is.New(t).True(errors.Is(err, context.Canceled))
+}
