basilliftctl: commands check and diff

Cause: operators need to see the problems and the effect of lists before they publish them.

Change: "check" runs the daemons' validator over files or the platform; "diff" prints what each customer gains and loses, which plans and services change, and warns when the new epoch is lower, since daemons would then ignore the lists. A further command is one file and one entry in commands.All.

Conclusion: every exit code and each kind of difference has a test.

--- /dev/null
+++ b/basilliftctl/commands/check.go
@@ -0,0 +1,89 @@
+package commands
+
+import (
+	"context"
+
+	"basillift.dev/basillift/bllist"
+)
+
+// check validates lists in files or on the platform, as the daemons do.
+type check struct {
+	Customers string `long:"customers" value-name:"FILE" description:"the customers list; its parts stand beside it as FILE.1, FILE.2, ..."`
+	Plans     string `long:"plans" value-name:"FILE" description:"the plans list"`
+	Platform  string `long:"platform" value-name:"URL" description:"check the lists that the platform holds"`
+	JSON      bool   `long:"json" description:"print the result as JSON"`
+}
+
+// checked is the JSON form of the result.
+type checked struct {
+	OK        bool      `json:"ok"`
+	Version   string    `json:"version"`
+	Customers int       `json:"customers"`
+	Plans     int       `json:"plans"`
+	Services  int       `json:"services"`
+	Problems  []problem `json:"problems"`
+	More      bool      `json:"more"`
+}
+
+// Name implements Command.
+func (c *check) Name() string { return "check" }
+
+// Short implements Command.
+func (c *check) Short() string {
+	return "Check the customers and plans lists before or after publishing them"
+}
+
+// Long implements Command.
+func (c *check) Long() string {
+	return `Checks both lists with the validator that the daemons use and prints all problems at once.
+
+Examples:
+  basilliftctl check --customers customers.json --plans plans.json
+  basilliftctl check --platform http://10.0.0.5:2400 --json
+` + exitCodes
+}
+
+// Run implements Command.
+func (c *check) Run(ctx context.Context, s Streams) error {
+	cut, err := c.read(ctx)
+	if invalid, ok := refusal(err); ok {
+		return c.refused(s, invalid)
+	}
+	if err != nil {
+		return err
+	}
+	l := cut.Lists()
+	if c.JSON {
+		return s.printJSON(checked{
+			OK: true, Version: cut.Version().String(), Customers: len(l.Customers()),
+			Plans: len(l.Plans()), Services: len(l.Services()), Problems: []problem{},
+		})
+	}
+	s.printf("ok: version %s, %d customers, %d plans, %d services\n",
+		cut.Version(), len(l.Customers()), len(l.Plans()), len(l.Services()))
+	return nil
+}
+
+func (c *check) read(ctx context.Context) (bllist.Cut, error) {
+	files := c.Customers != "" && c.Plans != ""
+	switch {
+	case c.Platform != "" && c.Customers == "" && c.Plans == "":
+		return readPlatform(ctx, c.Platform)
+	case c.Platform == "" && files:
+		return readFiles(c.Customers, c.Plans)
+	default:
+		return bllist.Cut{}, usage("give either --customers and --plans, or --platform")
+	}
+}
+
+func (c *check) refused(s Streams, invalid *bllist.InvalidError) error {
+	if !c.JSON {
+		s.printProblems(invalid)
+		return differs()
+	}
+	result := checked{Version: invalid.Version().String(), Problems: problems(invalid), More: invalid.More()}
+	if err := s.printJSON(result); err != nil {
+		return err
+	}
+	return differs()
+}
--- /dev/null
+++ b/basilliftctl/commands/commands_test.go
@@ -0,0 +1,170 @@
+package commands
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllist"
+	"basillift.dev/basillift/blplatform"
+)
+
+const (
+	customers = `{"epoch":1,"customers":[{"name":"kobuleti","plan":"basic"},{"name":"poti","plan":"full"}]}`
+	plans     = `{"epoch":1,"services":["catalogue","gallery"],"plans":[{"name":"basic","services":["catalogue"]},` +
+		`{"name":"full","services":["catalogue","gallery"]}]}`
+)
+
+// folder writes files and returns a function that gives their paths.
+func folder(t *testing.T, files map[string]string) func(name string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for n, data := range files {
+		is.New(t).NoErr(os.WriteFile(filepath.Join(dir, n), []byte(data), 0o600))
+	}
+	return func(name string) string { return filepath.Join(dir, name) }
+}
+
+// platform serves values by the platform's protocol.
+func platform(t *testing.T, values map[string]string) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, ok := values[strings.TrimPrefix(r.URL.Path, "/v1/keys/")]
+		w.Header().Set(blplatform.HeaderStore, "9")
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Header().Set(blplatform.HeaderMod, "7")
+		_, _ = w.Write([]byte(data))
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// expect runs a command and checks its code and a part of what it prints.
+func expect(t *testing.T, code int, part string, arguments ...string) string {
+	t.Helper()
+	is := is.New(t)
+	var out, errors bytes.Buffer
+	is.Equal(Main(arguments, &out, &errors), code)
+	printed := out.String() + errors.String()
+	if !strings.Contains(printed, part) {
+		t.Fatalf("printed %q, want %q in it", printed, part)
+	}
+	is.True(!strings.Contains(printed, ".go:")) // no stack for a user's mistake
+	return out.String()
+}
+
+// Guards against a check that passes lists which the daemons refuse, and against wrong exit codes in scripts.
+func TestCheck(t *testing.T) {
+	at := folder(t, map[string]string{"c": customers, "p": plans, "bad": `{"epoch":0,"customers":[]}`})
+	url := platform(t, map[string]string{basillift.KeyCustomers: customers, basillift.KeyPlans: plans})
+	t.Run("good files", func(t *testing.T) {
+		expect(t, 0, "2 customers, 2 plans, 2 services", "check", "--customers", at("c"), "--plans", at("p"))
+	})
+	t.Run("good platform", func(t *testing.T) { expect(t, 0, "version 1.7", "check", "--platform", url) })
+	t.Run("bad file", func(t *testing.T) {
+		expect(t, 1, "customers: epoch: found 0; allowed: a whole number from 1", "check", "--customers", at("bad"), "--plans", at("p"))
+	})
+	t.Run("bad file as JSON", func(t *testing.T) {
+		var result checked
+		out := expect(t, 1, "", "check", "--json", "--customers", at("bad"), "--plans", at("p"))
+		is := is.New(t)
+		is.NoErr(json.Unmarshal([]byte(out), &result))
+		is.Equal(len(result.Problems), 2)
+	})
+	t.Run("bad platform", func(t *testing.T) {
+		url := platform(t, map[string]string{basillift.KeyPlans: plans})
+		expect(t, 1, "customers: found no value", "check", "--platform", url)
+	})
+	t.Run("missing file", func(t *testing.T) {
+		expect(t, 3, "no such file", "check", "--customers", at("none"), "--plans", at("p"))
+	})
+	t.Run("platform down", func(t *testing.T) { expect(t, 3, "unavailable", "check", "--platform", "http://127.0.0.1:1") })
+	t.Run("platform URL", func(t *testing.T) { expect(t, 2, "allowed: http", "check", "--platform", "tower") })
+	t.Run("one list only", func(t *testing.T) { expect(t, 2, "give either", "check", "--customers", at("c")) })
+	t.Run("files and platform", func(t *testing.T) {
+		expect(t, 2, "give either", "check", "--customers", at("c"), "--plans", at("p"), "--platform", url)
+	})
+}
+
+// Guards against usage mistakes that look like a result, and against a help page without examples.
+func TestUsage(t *testing.T) {
+	t.Run("no command", func(t *testing.T) { expect(t, 2, "check or diff") })
+	t.Run("unknown command", func(t *testing.T) { expect(t, 2, "Unknown command", "chekc") })
+	t.Run("unknown option", func(t *testing.T) { expect(t, 2, "unknown flag", "check", "--file", "x") })
+	t.Run("argument", func(t *testing.T) { expect(t, 2, "options only", "check", "x") })
+	for _, c := range All() {
+		t.Run("help "+c.Name(), func(t *testing.T) { expect(t, 0, "basilliftctl "+c.Name()+" --", c.Name(), "--help") })
+	}
+}
+
+// Guards against a split list that is checked without its parts.
+func TestSplitFiles(t *testing.T) {
+	part := `{"epoch":1,"customers":[{"name":"kobuleti","plan":"basic"}]}`
+	index := `{"epoch":1,"parts":["` + bllist.Hash([]byte(part)) + `"]}`
+	t.Run("good", func(t *testing.T) {
+		at := folder(t, map[string]string{"c": index, "c.1": part, "p": plans})
+		expect(t, 0, "1 customers", "check", "--customers", at("c"), "--plans", at("p"))
+	})
+	t.Run("missing part", func(t *testing.T) {
+		at := folder(t, map[string]string{"c": index, "p": plans})
+		expect(t, 3, "read customers.1", "check", "--customers", at("c"), "--plans", at("p"))
+	})
+	t.Run("other part", func(t *testing.T) {
+		at := folder(t, map[string]string{"c": index, "c.1": part + " ", "p": plans})
+		expect(t, 1, "customers.1: found a part with the hash", "check", "--customers", at("c"), "--plans", at("p"))
+	})
+}
+
+// Guards against publishing lists whose effect on a customer the operator did not see.
+func TestDiff(t *testing.T) {
+	at := folder(t, map[string]string{
+		"c": customers, "p": plans, "bad": "{}", "p2": strings.Replace(plans, `"epoch":1`, `"epoch":2`, 1),
+		"c2": `{"epoch":1,"customers":[{"name":"kobuleti","plan":"full"},{"name":"batumi","plan":"basic"}]}`,
+		"p3": strings.Replace(plans, `{"name":"full"`, `{"name":"spare","rate":5,"services":["gallery"]},{"name":"full"`, 1),
+	})
+	pair := func(c, p string) []string { return []string{"diff", "--old-customers", at(c), "--old-plans", at(p)} }
+	against := func(old []string, c, p string) []string { return append(old, "--customers", at(c), "--plans", at(p)) }
+	cases := []struct {
+		name      string
+		code      int
+		part      string
+		arguments []string
+	}{
+		{"same", 0, "0 customers change", against(pair("c", "p"), "c", "p")},
+		{"plan change", 1, "customer kobuleti: plan basic -> full; gains gallery\n", against(pair("c", "p"), "c2", "p")},
+		{"removed", 1, "customer poti: removed, plan was full; loses catalogue, gallery\n", against(pair("c", "p"), "c2", "p")},
+		{"new", 1, "customer batumi: new, plan basic; gains catalogue\n", against(pair("c", "p"), "c2", "p")},
+		{"by service", 1, "service catalogue: gained by 1 customers, lost by 1\n", against(pair("c", "p"), "c2", "p")},
+		{"plan that nobody holds", 1, "plan spare: new\n", against(pair("c", "p"), "c", "p3")},
+		{"lower epoch", 1, "daemons would ignore", against(pair("c", "p2"), "c", "p")},
+		{"platform", 1, "customer poti: removed", against([]string{"diff", "--platform", platform(t, map[string]string{
+			basillift.KeyCustomers: customers, basillift.KeyPlans: plans,
+		})}, "c2", "p")},
+		{"invalid new lists", 1, "new lists:", against(pair("c", "p"), "bad", "p")},
+		{"missing old lists", 3, "old lists: read customers", against(pair("none", "p"), "c", "p")},
+		{"no new lists", 2, "give --customers and --plans", pair("c", "p")},
+		{"no old lists", 2, "give either --old-customers", against([]string{"diff"}, "c", "p")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { expect(t, c.code, c.part, c.arguments...) })
+	}
+	t.Run("JSON", func(t *testing.T) {
+		is := is.New(t)
+		var result difference
+		out := expect(t, 1, "", append(against(pair("c", "p"), "c2", "p"), "--json")...)
+		is.NoErr(json.Unmarshal([]byte(out), &result))
+		is.Equal(len(result.Customers), 3)
+		is.Equal(result.Customers[1].Gained, []string{"gallery"})
+	})
+}
--- /dev/null
+++ b/basilliftctl/commands/lists.go
@@ -0,0 +1,114 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blconfig"
+	"basillift.dev/basillift/bllist"
+	"basillift.dev/basillift/blplatform"
+)
+
+// exitCodes ends the long description of each command that reads lists.
+const exitCodes = `
+Exit codes: 0 ok, 1 the lists have problems or differ, 2 usage, 3 a file or the platform cannot be read.`
+
+// readFiles assembles lists from files. The parts of a split list stand beside
+// its file as FILE.1, FILE.2 and so on. The version has revision 0.
+func readFiles(customers, plans string) (bllist.Cut, error) {
+	var values []basillift.Value
+	for _, f := range [][2]string{{basillift.KeyCustomers, customers}, {basillift.KeyPlans, plans}} {
+		key, name := f[0], f[1]
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return bllist.Cut{}, fmt.Errorf("read %s: %w", key, failure(err))
+		}
+		top := basillift.NewValue(key, data, 0, 0)
+		values = append(values, top)
+		for i, k := range bllist.PartKeys(top) {
+			data, err := os.ReadFile(bllist.PartKey(name, i+1))
+			if err != nil {
+				return bllist.Cut{}, fmt.Errorf("read %s: %w", k, failure(err))
+			}
+			values = append(values, basillift.NewValue(k, data, 0, 0))
+		}
+	}
+	cut, err := bllist.Assemble(values...)
+	if err != nil {
+		return bllist.Cut{}, fmt.Errorf("read files: %w", err)
+	}
+	return cut, nil
+}
+
+func readPlatform(ctx context.Context, address string) (bllist.Cut, error) {
+	client, err := blplatform.NewClient(address)
+	if err != nil {
+		return bllist.Cut{}, usage("--platform: " + err.Error())
+	}
+	defer client.Close()
+	cut, err := blplatform.ReadCut(ctx, client)
+	if err != nil {
+		return bllist.Cut{}, fmt.Errorf("read platform %s: %w", address, err)
+	}
+	return cut, nil
+}
+
+// refusal returns the problems of lists that were read but are invalid.
+func refusal(err error) (*bllist.InvalidError, bool) {
+	return errors.AsType[*bllist.InvalidError](err)
+}
+
+func build(c bllist.Cut) (*blconfig.Snapshot, error) {
+	s, err := blconfig.Build(c.Version(), c.Lists())
+	if err != nil {
+		return nil, fmt.Errorf("build: %w", err)
+	}
+	return s, nil
+}
+
+// problem is the form of a problem in JSON output.
+type problem struct {
+	Key     string `json:"key"`
+	Field   string `json:"field"`
+	Kind    string `json:"kind"`
+	Found   string `json:"found"`
+	Allowed string `json:"allowed"`
+}
+
+func problems(e *bllist.InvalidError) []problem {
+	list := make([]problem, 0, len(e.Problems()))
+	for _, p := range e.Problems() {
+		list = append(list, problem{
+			Key: p.Key(), Field: p.Field(), Kind: string(p.Kind()), Found: p.Found(), Allowed: p.Allowed(),
+		})
+	}
+	return list
+}
+
+// printf prints results. A closed pipe loses nothing that the user still wants to see.
+func (s Streams) printf(format string, values ...any) { _, _ = fmt.Fprintf(s.out, format, values...) }
+
+func (s Streams) printJSON(v any) error {
+	encoder := json.NewEncoder(s.out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(v); err != nil {
+		return fmt.Errorf("print result: %w", err)
+	}
+	return nil
+}
+
+// printProblems prints one line for each problem.
+func (s Streams) printProblems(e *bllist.InvalidError) {
+	for _, p := range e.Problems() {
+		s.printf("%s\n", p)
+	}
+	if e.More() {
+		s.printf("at least %d problems; the others are not shown\n", len(e.Problems()))
+		return
+	}
+	s.printf("%d problems\n", len(e.Problems()))
+}
