basilliftlab: add the demo of a mesh of real processes

The promises have to hold for callers of real processes, not only in packages' tests.

labdemo starts the platform, targets and daemons of either mesh, sends calls, makes ten edits, drains a target, kills a daemon and stops another. It then compares each call's fate with the published lists and with the targets' counts of runs. A check whose subject was never seen fails, and so does a mesh that answers less than 95 % of the allowed calls, so that a mesh that refuses everything does not pass.

--- a/basilliftlab/commands/root.go
+++ b/basilliftlab/commands/root.go
@@ -34,10 +34,12 @@
 const exitCodes = `
 Exit codes: 0 success, 1 a check failed, 2 wrong flags, 3 cannot start or run, 130 interrupted.`
 
-// Errors that decide the exit code.
+// Errors that decide the exit code. A command that returns errFailed or errStart
+// has printed what failed.
 var (
 	errUsage  = eris.New("wrong flags")
 	errFailed = eris.New("check failed")
+	errStart  = eris.New("cannot start or run")
 )
 
 // Run runs the command that the arguments name and returns the exit code.
@@ -67,6 +69,7 @@
 		newPlatformCommand(ctx),
 		newTargetCommand(ctx),
 		newLoadCommand(ctx),
+		newDemoCommand(ctx),
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, c.long+exitCodes, c.data); err != nil {
@@ -85,7 +88,9 @@
 		fmt.Println(wrong.Message)
 		return ExitOK
 	}
-	fmt.Fprintln(os.Stderr, "basilliftlab:", err)
+	if !errors.Is(err, errFailed) && !errors.Is(err, errStart) {
+		fmt.Fprintln(os.Stderr, "basilliftlab:", err)
+	}
 	switch {
 	case wrong != nil, errors.Is(err, errUsage):
 		return ExitUsage
--- /dev/null
+++ b/basilliftlab/labdemo/settings.go
@@ -0,0 +1,46 @@
+package labdemo
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// settings is the daemon's settings file, as docs/settings.md describes it. This
+// is the only place that knows its form.
+type settings struct {
+	Name        string   `json:"name"`
+	Domain      string   `json:"domain"`
+	Domains     []string `json:"domains"`
+	Region      string   `json:"region"`
+	Service     string   `json:"service"`
+	Caller      string   `json:"caller"`
+	Mesh        string   `json:"mesh"`
+	Control     string   `json:"control"`
+	Admin       string   `json:"admin"`
+	Target      string   `json:"target"`
+	Platform    string   `json:"platform"`
+	Seeds       []string `json:"seeds"`
+	Slots       int      `json:"slots"`
+	Connections int      `json:"connections"`
+	Trace       string   `json:"trace"`
+}
+
+// writeSettings writes the settings of a VM's daemon and returns the file's path.
+func writeSettings(folder string, m Mesh, v VM) (string, error) {
+	data, err := json.MarshalIndent(settings{
+		Name: v.name, Domain: v.domain, Domains: m.domains, Region: v.region, Service: v.service,
+		Caller: v.caller(), Mesh: v.mesh(), Control: v.control(), Admin: v.admin(), Target: v.target(),
+		Platform: "http://" + m.platform(), Seeds: m.seeds(v),
+		Slots: m.slots, Connections: m.connections, Trace: "none",
+	}, "", "  ")
+	if err != nil {
+		return "", fmt.Errorf("encode settings of %s: %w", v.name, err)
+	}
+	path := filepath.Join(folder, v.name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return "", fmt.Errorf("write settings: %w", err)
+	}
+	return path, nil
+}
--- a/basilliftlab/labload/call.go
+++ b/basilliftlab/labload/call.go
@@ -48,6 +48,11 @@
 	repeat   bool
 }
 
+// NewCall returns a call of a customer to a service through a daemon's address.
+func NewCall(id string, k Kind, address, customer, service string) Call {
+	return Call{id: id, kind: k, address: address, customer: customer, service: service}
+}
+
 // ID is unique over all runs of the client.
 func (c Call) ID() string { return c.id }
 
--- a/basilliftlab/labload/planner.go
+++ b/basilliftlab/labload/planner.go
@@ -42,15 +42,11 @@
 func (p *Planner) Next() Call {
 	p.next = p.next.Add(time.Duration(float64(p.interval) * p.random.ExpFloat64()))
 	p.count++
-	c := Call{
-		id:       fmt.Sprintf("%s-%d", p.run, p.count),
-		kind:     p.mix.Draw(p.random),
-		address:  p.Address(),
-		service:  p.services[p.random.Intn(len(p.services))],
-		customer: p.customers[p.random.Intn(len(p.customers))],
-		variant:  p.random.Intn(uploadVariants),
-		intended: p.next,
-	}
+	kind, address := p.mix.Draw(p.random), p.Address()
+	service, customer := p.services[p.random.Intn(len(p.services))], p.customers[p.random.Intn(len(p.customers))]
+	c := NewCall(fmt.Sprintf("%s-%d", p.run, p.count), kind, address, customer, service)
+	c.variant = p.random.Intn(uploadVariants)
+	c.intended = p.next
 	if c.kind == KindKeyed {
 		c.key = NewKey(p.next, p.random)
 	}
--- a/basilliftlab/labload/tally.go
+++ b/basilliftlab/labload/tally.go
@@ -55,15 +55,10 @@
 	case r.verdict.Honest():
 		t.reasons[fmt.Sprintf("%s %s", r.verdict, r.reason)]++
 	case len(t.details) < maximumDetails:
-		t.details = append(t.details, describe(r))
+		t.details = append(t.details, r.String())
 	}
 }
 
-func describe(r Result) string {
-	return fmt.Sprintf("%s %s %s of %s at %s: status %d, outcome %q, reason %q, %s",
-		r.verdict, r.call.kind, r.call.id, r.call.customer, r.call.address, r.status, r.outcome, r.reason, r.detail)
-}
-
 // Calls is the number of attempts.
 func (t *Tally) Calls() int {
 	t.lock.Lock()
--- a/basilliftlab/labload/verdict.go
+++ b/basilliftlab/labload/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -61,6 +62,12 @@
 	detail  string
 }
 
+// NewResult returns the result of a call that was sent and has ended. Reason is
+// that of a refusal or an unknown outcome.
+func NewResult(c Call, v Verdict, reason basillift.Reason, sent, ended time.Time) Result {
+	return Result{call: c, verdict: v, reason: reason, sent: sent, ended: ended}
+}
+
 // Call is the call.
 func (r Result) Call() Call { return r.call }
 
@@ -92,6 +99,13 @@
 // Detail tells a human why the verdict is not VerdictAnswered.
 func (r Result) Detail() string { return r.detail }
 
+// String describes the result for a human.
+func (r Result) String() string {
+	return fmt.Sprintf("%s %s %s of %s to %s at %s: status %d, outcome %q, reason %q, sent %s, took %s, %s",
+		r.verdict, r.call.kind, r.call.id, r.call.customer, r.call.service, r.call.address, r.status, r.outcome,
+		r.reason, r.sent.Format("15:04:05.000"), r.ended.Sub(r.sent), r.detail)
+}
+
 // judgeError turns a failed exchange into a verdict.
 func judgeError(err error) Verdict {
 	var broken *net.OpError
