basilliftctl: status, explain, timeline, audit, notices, drain

Cause: operators had no view of the running mesh. Change: one file a command; daemons are asked in parallel, and a silent one is named on standard error without ending the command.

--- a/basillift/bltimeline/codec.go
+++ b/basillift/bltimeline/codec.go
@@ -87,14 +87,15 @@
 
 // Encode writes one event as a JSON object without a line end.
 func Encode(e basillift.Event) ([]byte, error) {
-	data, err := json.Marshal(entryOf(e))
+	data, err := json.Marshal(EntryOf(e))
 	if err != nil {
 		return nil, fmt.Errorf("encode event: %w", err)
 	}
 	return data, nil
 }
 
-func entryOf(e basillift.Event) Entry {
+// EntryOf returns the generated form of an event, for programs that write JSON.
+func EntryOf(e basillift.Event) Entry {
 	t := Entry{
 		At:          int(e.At().UnixNano()),
 		Vm:          string(e.VM()),
--- a/basillift/bltimeline/write.go
+++ b/basillift/bltimeline/write.go
@@ -74,7 +74,7 @@
 
 // describe joins the fields that are present as name=value.
 func describe(e basillift.Event) string {
-	t := entryOf(e)
+	t := EntryOf(e)
 	var parts []string
 	add := func(name string, v *string) {
 		if v != nil {
@@ -128,7 +128,7 @@
 		}
 		entries = append(entries, traceEvent{
 			Name: string(e.Kind()), Phase: "i", Scope: "p", Micro: e.At().UnixMicro(),
-			PID: number, TID: 1, Args: entryOf(e),
+			PID: number, TID: 1, Args: EntryOf(e),
 		})
 	}
 	if err := json.NewEncoder(w).Encode(entries); err != nil {
--- a/basilliftctl/commands/commands.go
+++ b/basilliftctl/commands/commands.go
@@ -31,7 +31,9 @@
 
 // All returns the commands in the order of the help page.
 func All() []Command {
-	return []Command{&check{}, &diff{}}
+	return []Command{
+		&check{}, &diff{}, &status{}, &explain{}, &timeline{}, &audit{}, &notices{}, &drain{},
+	}
 }
 
 // Streams are where a command prints.
@@ -76,6 +78,11 @@
 	return nil
 }
 
+// warnf prints what is wrong but does not end the command.
+func (s Streams) warnf(format string, values ...any) {
+	_, _ = fmt.Fprintf(s.err, "basilliftctl: "+format, values...)
+}
+
 // report prints an error as one line, without a stack, and returns the exit code.
 func (s Streams) report(err error) int {
 	if err == nil {
--- a/basilliftctl/commands/exit.go
+++ b/basilliftctl/commands/exit.go
@@ -1,9 +1,14 @@
 package commands
 
+import "github.com/rotisserie/eris"
+
+// errNoAnswer means that none of the asked daemons answered.
+var errNoAnswer = eris.New("no daemon answered")
+
 // The exit codes.
 const (
 	CodeOK = 0
-	// CodeDiffers means that lists have problems or differ.
+	// CodeDiffers means that lists have problems or differ, or that a trace breaks a promise.
 	CodeDiffers = 1
 	// CodeUsage means that the arguments are wrong.
 	CodeUsage = 2
--- a/basilliftctl/commands/lists.go
+++ b/basilliftctl/commands/lists.go
@@ -13,9 +13,10 @@
 	"basillift.dev/basillift/blplatform"
 )
 
-// exitCodes ends the long description of each command that reads lists.
+// exitCodes ends the long description of each command.
 const exitCodes = `
-Exit codes: 0 ok, 1 the lists have problems or differ, 2 usage, 3 a file or the platform cannot be read.`
+Exit codes: 0 ok, 1 the lists have problems or differ, or a promise is broken, 2 usage, 3 a file, the platform
+or a daemon cannot be read.`
 
 // readFiles assembles lists from files. The parts of a split list stand beside
 // its file as FILE.1, FILE.2 and so on. The version has revision 0.
