blproxy: tests with misbehaving targets and callers over real sockets

Cause: each known trap of an HTTP proxy needs a decision and a test: requests sent twice, stale or crossed connections, cut bodies, callers that hang up, deadlines, Expect, bodyless answers, hop-by-hop headers, framing, drain.

--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -16,7 +16,7 @@
 	if r == nil {
 		_, _, r = p.allowed(k)
 	}
-	if r == nil || r.reason == basillift.ReasonService && k.service == "" {
+	if r == nil {
 		return fasthttp.StatusContinue
 	}
 	answer(ctx, r)
@@ -122,6 +122,7 @@
 		p.finish(k)
 		return
 	}
+	_ = ctx.SetWriteDeadline(k.deadline)
 	stream.finish = func(bool) { p.finish(k) }
 }
 
--- a/basillift/blproxy/fakes_test.go
+++ b/basillift/blproxy/fakes_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -172,8 +173,41 @@
 	return l.Addr().String()
 }
 
-// ask sends one request to the daemon's caller side.
+// startRaw serves a target that handles each connection by itself, for misbehaviour.
+func startRaw(t testing.TB, handle func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	requireNoError(t, err)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				defer func() { _ = c.Close() }()
+				handle(c, bufio.NewReader(c))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		requireNoError(t, l.Close())
+		group.Wait()
+	})
+	return l.Addr().String()
+}
+
+// ask sends one request to the daemon's caller side and expects an answer.
 func (d *daemon) ask(t testing.TB, method, path, text string, headers ...string) *fasthttp.Response {
+	t.Helper()
+	response, err := d.try(t, method, path, text, headers...)
+	requireNoError(t, err)
+	return response
+}
+
+// try sends one request to the daemon's caller side on a connection of its own.
+func (d *daemon) try(t testing.TB, method, path, text string, headers ...string) (*fasthttp.Response, error) {
 	t.Helper()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -188,16 +222,21 @@
 			request.Header.Set(name, value)
 		}
 	}
-	request.SetConnectionClose()
-	response := &fasthttp.Response{}
 	c, err := net.Dial("tcp", d.CallerAddress())
 	requireNoError(t, err)
 	defer func() { _ = c.Close() }()
 	_, err = request.WriteTo(c)
 	requireNoError(t, err)
-	response.SkipBody = method == fasthttp.MethodHead
-	requireNoError(t, response.Read(bufio.NewReader(c)))
-	return response
+	response := &fasthttp.Response{SkipBody: method == fasthttp.MethodHead}
+	return response, response.Read(bufio.NewReader(c))
+}
+
+// eventually waits until the condition holds; the test run's own timeout bounds it.
+func eventually(t testing.TB, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func requireNoError(t testing.TB, err error) {
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -72,6 +72,8 @@
 		ExpectHandler:                expect,
 		ErrorHandler:                 refuseMalformed,
 		IdleTimeout:                  90 * time.Second,
+		ReadTimeout:                  p.settings.longestTimeout + 15*time.Second,
+		WriteTimeout:                 p.settings.longestTimeout,
 		ReadBufferSize:               bufferBytes,
 		WriteBufferSize:              bufferBytes,
 		MaxRequestBodySize:           fasthttp.DefaultMaxRequestBodySize,
--- a/basillift/blproxy/request.go
+++ b/basillift/blproxy/request.go
@@ -47,12 +47,11 @@
 // is, so it must name the same service with and without normalisation; otherwise
 // a target that normalises could serve a path of another service than the one checked.
 func serviceOf(ctx *fasthttp.RequestCtx) (string, *refusal) {
-	service, ok := ctx.UserValue("service").(string)
-	if !ok || service == "" {
+	service := string(firstSegment(ctx.Request.Header.RequestURI()))
+	if service == "" {
 		return "", refuse(basillift.OutcomeNotRun, basillift.ReasonService, "The path must start with the name of a service.")
 	}
-	raw := firstSegment(ctx.Request.Header.RequestURI())
-	if string(raw) != service || string(firstSegment(ctx.Path())) != service {
+	if string(firstSegment(ctx.Path())) != service {
 		return service, refuse(basillift.OutcomeNotRun, basillift.ReasonBadRequest, "The path must not leave its service.")
 	}
 	return service, nil
--- /dev/null
+++ b/basillift/blproxy/uploads_test.go
@@ -0,0 +1,232 @@
+package blproxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+)
+
+const (
+	start       = " HTTP/1.1\r\nHost: x\r\nBasillift-Customer: kobuleti\r\n"
+	uploadBytes = 48 << 20
+)
+
+// dialCaller opens a connection to the caller side and writes the given bytes.
+func dialCaller(t *testing.T, d *daemon, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", d.CallerAddress())
+	requireNoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	requireNoError(t, err)
+	return c, bufio.NewReader(c)
+}
+
+func readResponse(t *testing.T, r *bufio.Reader) *fasthttp.Response {
+	t.Helper()
+	response := &fasthttp.Response{}
+	requireNoError(t, response.Read(r))
+	return response
+}
+
+// zeros is a body that needs no memory.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// TestLargeBodies guards against bodies that are held in memory as a whole.
+func TestLargeBodies(t *testing.T) {
+	target := startTarget(t, func(ctx *fasthttp.RequestCtx) {
+		if ctx.IsPost() {
+			n, _ := io.Copy(io.Discard, ctx.RequestBodyStream())
+			ctx.SetBodyString(fmt.Sprint(n))
+			return
+		}
+		size := uploadBytes
+		if ctx.QueryArgs().Has("chunked") {
+			size = -1
+		}
+		ctx.SetBodyStream(io.LimitReader(zeros{}, uploadBytes), size)
+	})
+	caller, _ := startPair(t, target, nil)
+	// A whole body of one direction alone would exceed this in each of the two proxies.
+	const allowed = uploadBytes / 2
+	t.Run("upload", func(t *testing.T) {
+		before := allocated()
+		c, r := dialCaller(t, caller, fmt.Sprintf("POST /catalogue/map%sContent-Length: %d\r\n\r\n", start, uploadBytes))
+		_, err := io.Copy(c, io.LimitReader(zeros{}, uploadBytes))
+		requireNoError(t, err)
+		assertAnswer(t, readResponse(t, r), 200, fmt.Sprint(uploadBytes))
+		is.New(t).True(allocated()-before < allowed)
+	})
+	for _, path := range []string{"map", "map?chunked"} {
+		t.Run("download "+path, func(t *testing.T) {
+			before := allocated()
+			_, r := dialCaller(t, caller, "GET /catalogue/"+path+start+"\r\n")
+			response := &fasthttp.Response{StreamBody: true}
+			requireNoError(t, response.Read(r))
+			n, err := io.Copy(io.Discard, response.BodyStream())
+			requireNoError(t, err)
+			is.New(t).Equal(n, int64(uploadBytes))
+			is.New(t).True(allocated()-before < allowed)
+		})
+	}
+}
+
+func allocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
+// TestUploadCut guards against part of an upload that a target takes as whole.
+func TestUploadCut(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"
+	cases := []struct {
+		name, framing, end string
+		hangsUp            bool
+	}{
+		{"fixed length", "Content-Length: 200000\r\n\r\n", "", true},
+		{"chunked", chunked, "\r\n", true},
+		{"within a chunk", strings.Replace(chunked, "186a0", "186a1", 1), "", true},
+		{"bad chunk on an open connection", chunked, "\r\nzz\r\n", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			whole, arriving := make(chan bool, 1), make(chan struct{})
+			target := startRaw(t, func(_ net.Conn, r *bufio.Reader) {
+				_, _ = r.Peek(1)
+				close(arriving)
+				whole <- readRequest(r)
+			})
+			caller, called := startPair(t, target, patient)
+			conn, r := dialCaller(t, caller, "POST /catalogue/1"+start+c.framing+strings.Repeat("x", 100000)+c.end)
+			<-arriving
+			if c.hangsUp {
+				requireNoError(t, conn.Close())
+			} else {
+				assertRefused(t, readResponse(t, r), 502, basillift.OutcomeUnknown, basillift.ReasonTruncated)
+			}
+			is.New(t).Equal(<-whole, false)
+			eventually(t, func() bool { return caller.InFlight() == 0 && called.InFlight() == 0 })
+		})
+	}
+}
+
+// patient makes sure that no deadline ends what something else must end.
+func patient(s Settings) Settings { return s.WithTimeouts(time.Hour, time.Hour) }
+
+// TestEarlyRefusal guards against a target's answer that is lost because the
+// caller is still sending, and against a wait for a body that nobody reads.
+func TestEarlyRefusal(t *testing.T) {
+	target := startRaw(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = r.ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Content Too Large\r\nContent-Length: 3\r\n\r\nbig")
+		waitClosed(r)
+	})
+	caller, _ := startPair(t, target, patient)
+	c, r := dialCaller(t, caller, fmt.Sprintf("POST /catalogue/map%sContent-Length: %d\r\n\r\n", start, uploadBytes))
+	_, _ = io.Copy(c, io.LimitReader(zeros{}, uploadBytes))
+	assertAnswer(t, readResponse(t, r), 413, "big")
+}
+
+// TestExpect guards against an upload that is asked for although it is refused anyway.
+func TestExpect(t *testing.T) {
+	caller, _ := startPair(t, startTarget(t, echo), nil)
+	t.Run("wanted", func(t *testing.T) {
+		c, r := dialCaller(t, caller, "POST /catalogue/1"+start+"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		line, err := r.ReadString('\n')
+		requireNoError(t, err)
+		is.New(t).Equal(line, "HTTP/1.1 100 Continue\r\n")
+		_, err = r.ReadString('\n')
+		requireNoError(t, err)
+		_, err = io.WriteString(c, "goat")
+		requireNoError(t, err)
+		assertAnswer(t, readResponse(t, r), 200, "POST /catalogue/1 goat")
+	})
+	t.Run("refused", func(t *testing.T) {
+		_, r := dialCaller(t, caller, "POST /reservations/1"+start+"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		assertRefused(t, readResponse(t, r), 403, basillift.OutcomeNotRun, basillift.ReasonPlan)
+	})
+}
+
+// TestFraming guards against requests whose end two parsers see at different places.
+func TestFraming(t *testing.T) {
+	var runs atomic.Int32
+	caller, _ := startPair(t, startTarget(t, func(*fasthttp.RequestCtx) { runs.Add(1) }), nil)
+	chunks := "\r\n0\r\n\r\nGET /catalogue/2 HTTP/1.1\r\n\r\n"
+	cases := []struct {
+		name, head string
+		status     int
+	}{
+		{"length and chunked", start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks, 400},
+		{"length and identity", start + "Transfer-Encoding: identity\r\nContent-Length: 4\r\n\r\ngoat", 400},
+		{"two lengths", start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\ngoat", 400},
+		{"unknown coding", start + "Transfer-Encoding: gzip, chunked\r\n" + chunks, 400},
+		{"space before colon", start + "Content-Length : 4\r\n\r\ngoat", 400},
+		{"old protocol", strings.Replace(start, "1.1", "1.0", 1) + "\r\n", 505},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, r := dialCaller(t, caller, "POST /catalogue/1"+c.head)
+			assertRefused(t, readResponse(t, r), c.status, basillift.OutcomeNotRun, basillift.ReasonBadRequest)
+			waitClosed(r) // a second request in the same bytes must not be served
+		})
+	}
+	is.New(t).Equal(runs.Load(), int32(0))
+}
+
+// TestDrain guards against a planned stop that interrupts a call, and against
+// callers that keep using a daemon that is leaving.
+func TestDrain(t *testing.T) {
+	arrived, leave := make(chan struct{}), make(chan struct{})
+	target := startTarget(t, func(ctx *fasthttp.RequestCtx) {
+		close(arrived)
+		<-leave
+		ctx.SetBodyString("late")
+	})
+	caller, called := startPair(t, target, nil)
+	_, r := dialCaller(t, caller, "GET /catalogue/1"+start+"\r\n")
+	<-arrived
+	drained := make(chan int, 1)
+	go func() { drained <- called.Drain(context.Background()) }()
+	eventually(t, called.draining.Load)
+	refused := caller.ask(t, "POST", "/catalogue/2", "goat")
+	assertRefused(t, refused, 503, basillift.OutcomeNotRun, basillift.ReasonDraining)
+	is.New(t).Equal(len(drained), 0) // the first call is still running
+	close(leave)
+	assertAnswer(t, readResponse(t, r), 200, "late")
+	is.New(t).Equal(<-drained, 0)
+}
+
+// TestDrainBound guards against a stop that never ends, and a caller that waits for a cut call.
+func TestDrainBound(t *testing.T) {
+	arrived := make(chan struct{})
+	target := startRaw(t, func(_ net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		close(arrived)
+		waitClosed(r)
+	})
+	caller, called := startPair(t, target, nil)
+	_, r := dialCaller(t, caller, "POST /catalogue/1"+start+"Content-Length: 0\r\n\r\n")
+	<-arrived
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	is.New(t).Equal(called.Drain(ctx), 1)
+	assertRefused(t, readResponse(t, r), 502, basillift.OutcomeUnknown, basillift.ReasonCallerGone)
+}
