bladmin: write the daemon's own metrics

Cause: /metrics showed only the global set, while each part keeps a set of its own. Change: the source of a daemon writes its metrics; process metrics follow. Measured: the metrics test of bladmin finds both kinds.

--- a/basillift/bladmin/admin_test.go
+++ b/basillift/bladmin/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -30,7 +31,8 @@
 func (f fakeSource) Explain(_ time.Time, customer, service, method string) []string {
 	return []string{customer, service, method}
 }
-func (f fakeSource) Drain() { f.drained <- true }
+func (f fakeSource) Drain()                   { f.drained <- true }
+func (f fakeSource) WriteMetrics(w io.Writer) { _, _ = io.WriteString(w, "basillift_ready 1\n") }
 
 func serve(t *testing.T, s Source) *Client {
 	t.Helper()
@@ -81,6 +83,13 @@
 		is.NoErr(err)
 		is.Equal(len(notices), 1)
 	})
+	t.Run("metrics of the daemon and the process", func(t *testing.T) {
+		is := is.New(t)
+		body, err := client.do("GET", "/metrics")
+		is.NoErr(err)
+		is.True(strings.Contains(string(body), "basillift_ready 1"))
+		is.True(strings.Contains(string(body), "process_cpu_seconds_total"))
+	})
 	t.Run("drain", func(t *testing.T) {
 		is := is.New(t)
 		is.NoErr(client.Drain())
--- a/basillift/bladmin/server.go
+++ b/basillift/bladmin/server.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -34,6 +35,8 @@
 	Explain(now time.Time, customer, service, method string) []string
 	// Drain begins to drain the VM's target.
 	Drain()
+	// WriteMetrics writes the daemon's own metrics as Prometheus text.
+	WriteMetrics(w io.Writer)
 }
 
 // Server answers operators.
@@ -122,7 +125,8 @@
 
 func (s *Server) metrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/plain; charset=utf-8")
-	metrics.WritePrometheus(ctx, true)
+	s.source.WriteMetrics(ctx)
+	metrics.WriteProcessMetrics(ctx)
 }
 
 func (s *Server) health(ctx *fasthttp.RequestCtx) {
--- a/basilliftctl/commands/daemons_test.go
+++ b/basilliftctl/commands/daemons_test.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -38,7 +39,8 @@
 func (f *fakeDaemon) Explain(time.Time, string, string, string) []string {
 	return []string{"customer kobuleti holds plan basic"}
 }
-func (f *fakeDaemon) Drain() {}
+func (f *fakeDaemon) Drain()                 {}
+func (f *fakeDaemon) WriteMetrics(io.Writer) {}
 
 func serveDaemon(t *testing.T) string {
 	t.Helper()
--- a/basilliftd/source.go
+++ b/basilliftd/source.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"time"
 
 	"basillift.dev/basillift"
@@ -35,6 +36,9 @@
 // Drain begins to drain the VM's target.
 func (s *source) Drain() { s.node.SetState(basillift.TargetDraining) }
 
+// WriteMetrics writes the metrics of all parts as Prometheus text.
+func (s *source) WriteMetrics(w io.Writer) { s.node.Metrics().WritePrometheus(w) }
+
 // Explain says step by step where a call would go.
 func (s *source) Explain(time.Time, string, string, string) []string { return nil }
 
