blproxy: choice of targets, retries, admission, target states, metrics, events

Cause: the thin path took the first willing target and let every call in.

Change: blroute chooses and learns the result of each attempt, at the end of the body for streamed answers; blretry decides on further attempts; bladmit's queue stands in front of the target, with one loop that sleeps while nothing waits; a caller that hangs up in the queue leaves it. The mesh side refuses by target state and, if its version is not older than the sender's, by plan. Only a 503 with Basillift-Outcome: not-run of a target counts as not run; any other 503 is passed on as unknown, because Retry-After alone does not say that nothing was processed. Call events and metrics in a set of each proxy.

--- a/basillift/blproxy/call.go
+++ b/basillift/blproxy/call.go
@@ -18,6 +18,7 @@
 	from     basillift.VMID
 	version  basillift.Version
 	depth    int
+	since    time.Time
 	deadline time.Time
 	conn     *callerConn
 
@@ -25,6 +26,8 @@
 	canceled bool
 	held     []*connection
 	space    [2]*connection
+	done     chan struct{}
+	slot     uint64
 }
 
 // cancel closes the connections that the call holds; later ones are refused.
@@ -35,6 +38,9 @@
 		return
 	}
 	c.canceled = true
+	if c.done != nil {
+		close(c.done)
+	}
 	for _, each := range c.held {
 		_ = each.Close()
 	}
@@ -46,6 +52,34 @@
 	return c.canceled
 }
 
+// canceledChan is closed when the call is canceled.
+func (c *call) canceledChan() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.done == nil {
+		c.done = make(chan struct{})
+		if c.canceled {
+			close(c.done)
+		}
+	}
+	return c.done
+}
+
+// wait pauses the call, and reports false if it was canceled meanwhile.
+func (c *call) wait(d time.Duration) bool {
+	if d <= 0 {
+		return !c.isCanceled()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.canceledChan():
+		return false
+	}
+}
+
 // hold lets cancel close the connection, and reports false if the call is already canceled.
 func (c *call) hold(n *connection) bool {
 	c.mutex.Lock()
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -222,9 +222,12 @@
 	source   *fasthttp.Response
 	reusable bool
 	complete bool
-	finish   func(complete bool)
+	ends     []func(complete bool)
 }
 
+// onEnd adds what is to be done after the last byte, or after a cut.
+func (r *relay) onEnd(f func(complete bool)) { r.ends = append(r.ends, f) }
+
 // Read passes errors on, so that fasthttp closes the caller's connection without
 // ending the body; the reset makes that visible for bodies that end by a close too.
 func (r *relay) Read(p []byte) (int, error) {
@@ -249,8 +252,8 @@
 	fasthttp.ReleaseResponse(r.source)
 	r.source = nil
 	r.exchange.end(r.reusable && r.complete)
-	if r.finish != nil {
-		r.finish(r.complete)
+	for _, end := range r.ends {
+		end(r.complete)
 	}
 	return nil
 }
--- a/basillift/blproxy/fakes_test.go
+++ b/basillift/blproxy/fakes_test.go
@@ -123,12 +123,12 @@
 	if change != nil {
 		s = change(s)
 	}
-	m := &mesh{}
+	place := basillift.NewPlace("tbilisi-a", "georgia")
+	m := &mesh{self: basillift.NewMember(id, 1, basillift.Addresses{}, place, "catalogue", 10)}
 	p, err := New(s, basicConfiguration(), m, m, m, m, m)
 	requireNoError(t, err)
 	requireNoError(t, p.Listen())
 	addresses := basillift.NewAddresses("", p.MeshAddress(), "")
-	place := basillift.NewPlace("tbilisi-a", "georgia")
 	m.self = basillift.NewMember(id, 1, addresses, place, "catalogue", 10).WithState(basillift.TargetReady)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/basillift/blproxy/mesh.go
+++ b/basillift/blproxy/mesh.go
@@ -14,43 +14,58 @@
 // serveMesh handles a call of another daemon for the target on this VM.
 func (p *Proxy) serveMesh(ctx *fasthttp.RequestCtx) {
 	now := time.Now()
-	p.inFlight.Add(1)
 	k, r := p.begin(ctx, now)
+	p.enter(k)
+	class := basillift.ClassNormal
 	if r == nil {
-		r = p.accept(ctx, k)
+		class, r = p.accept(ctx, k)
 	}
 	if r == nil {
-		r = p.pass(ctx, k, now)
+		r = p.pass(ctx, k, class)
 	}
 	if r != nil {
-		p.finishRefused(ctx, k, r)
+		p.finishRefused(ctx, k, r, &p.metrics.mesh)
 	}
 	if p.draining.Load() {
 		ctx.SetConnectionClose()
 	}
 }
 
-// accept checks whether the call belongs here and may run.
-func (p *Proxy) accept(ctx *fasthttp.RequestCtx, k *call) *refusal {
-	if k.conn != nil {
-		k.conn.start(k)
-	}
+// accept checks whether the call belongs here and may run, and returns its class.
+func (p *Proxy) accept(ctx *fasthttp.RequestCtx, k *call) (basillift.Class, *refusal) {
 	p.observe(ctx, k)
-	if p.draining.Load() {
-		return refuse(basillift.OutcomeNotRun, basillift.ReasonDraining, "The target is leaving.")
-	}
 	if k.service != p.directory.Self().Service() {
-		return refuse(basillift.OutcomeNotRun, basillift.ReasonService, "The target on this VM is of another service.")
+		return "", refuse(basillift.OutcomeNotRun, basillift.ReasonNoTarget, "The target on this VM is of another service.")
 	}
-	c, _, r := p.allowed(k)
-	if r == nil || c == nil || k.version.NewerThan(c.Version()) {
-		// The sender decided by a newer version than the one here.
+	c, plan, r := p.allowed(k)
+	if r != nil && c != nil && !k.version.NewerThan(c.Version()) {
+		return "", r
+	}
+	// A sender with a newer version knows better than this daemon what is allowed.
+	class := plan.Class()
+	if class == "" {
+		class = basillift.ClassNormal
+	}
+	return class, p.willing(class)
+}
+
+// willing refuses what the target's state does not admit. A shedding target keeps
+// its slots for calls that are not bulk.
+func (p *Proxy) willing(class basillift.Class) *refusal {
+	state := p.target.State()
+	switch {
+	case p.draining.Load(), state == basillift.TargetDraining, state == basillift.TargetGone:
+		return refuse(basillift.OutcomeNotRun, basillift.ReasonDraining, "The target is leaving.")
+	case state == basillift.TargetStarting:
+		return refuse(basillift.OutcomeNotRun, basillift.ReasonNoTarget, "The target is starting.")
+	case state == basillift.TargetShedding && class == basillift.ClassBulk:
+		return refuse(basillift.OutcomeNotRun, basillift.ReasonOverload, "The target sheds bulk calls.")
+	default:
 		return nil
 	}
-	return r
 }
 
-// observe hands on the version that the sender decided by.
+// observe hands on the version that the sender decided by, if it is newer than the one in force here.
 func (p *Proxy) observe(ctx *fasthttp.RequestCtx, k *call) {
 	raw := ctx.Request.Header.Peek(HeaderVersion)
 	if len(raw) == 0 {
@@ -68,29 +83,39 @@
 	}
 }
 
-// pass sends the call to the target.
-func (p *Proxy) pass(ctx *fasthttp.RequestCtx, k *call, now time.Time) *refusal {
+// pass sends the call to the target as soon as it has a slot. The buffered part
+// of the body is read first, so that a slow sender does not hold a slot.
+func (p *Proxy) pass(ctx *fasthttp.RequestCtx, k *call, class basillift.Class) *refusal {
 	b, r := p.takeBody(ctx, k)
 	if r != nil {
 		return r
 	}
+	defer b.release()
+	slot, r := p.gate.enter(time.Now(), k, class)
+	if r != nil {
+		return r
+	}
+	k.slot = slot
 	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
 	k.prepare(ctx, out)
 	out.Header.Del(HeaderVersion)
 	out.Header.Del(HeaderFrom)
-	r = p.run(ctx, k, now, out, b)
-	fasthttp.ReleaseRequest(out)
-	b.release()
+	r = p.run(ctx, k, out, b)
 	if r == nil {
-		p.finishAnswered(ctx, k)
+		p.finishAnswered(ctx, k, basillift.EventCallEnded, &p.metrics.mesh)
 	}
 	return r
 }
 
-func (p *Proxy) run(ctx *fasthttp.RequestCtx, k *call, now time.Time, out *fasthttp.Request, b *body) *refusal {
+// run sends the call to the target.
+func (p *Proxy) run(ctx *fasthttp.RequestCtx, k *call, out *fasthttp.Request, b *body) *refusal {
+	now := time.Now()
+	p.recordCall(now, k, basillift.EventCallAdmitted, "")
 	if !k.setTimeout(now, out) {
 		return refuse(basillift.OutcomeNotRun, basillift.ReasonDeadline, "The deadline has passed.")
 	}
+	p.recordCall(now, k, basillift.EventCallStarted, "")
 	x := &exchange{call: k, pool: p.pools.of(p.settings.targetAddress), body: b, interrupt: interrupter(ctx)}
 	failed := x.send(now, out, &ctx.Response, p.settings.bufferSize)
 	if failed != nil {
@@ -104,16 +129,17 @@
 // it may announce: that it did not run a call that it answers with 503.
 func sanitize(response *fasthttp.Response) {
 	h := &response.Header
-	announced := basillift.Outcome(h.Peek(HeaderOutcome))
-	h.Del(HeaderOutcome)
-	h.Del(HeaderReason)
+	said := basillift.Outcome(h.Peek(HeaderOutcome))
+	if said != "" {
+		h.Del(HeaderOutcome)
+		h.Del(HeaderReason)
+	}
 	if response.StatusCode() != fasthttp.StatusServiceUnavailable {
 		return
 	}
-	if announced == basillift.OutcomeNotRun {
-		h.Set(HeaderOutcome, string(basillift.OutcomeNotRun))
-	} else {
-		h.Set(HeaderOutcome, string(basillift.OutcomeUnknown))
+	if said != basillift.OutcomeNotRun {
+		said = basillift.OutcomeUnknown
 	}
+	h.Set(HeaderOutcome, string(said))
 	h.Set(HeaderReason, string(basillift.ReasonTarget))
 }
--- a/basillift/blproxy/pool.go
+++ b/basillift/blproxy/pool.go
@@ -175,6 +175,7 @@
 	}
 	if address == p.settings.targetAddress {
 		added.idleFor = p.settings.targetIdle
+		added.limit = p.settings.targetLimit
 	}
 	p.byAddr[address] = added
 	return added
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmit"
 )
 
 // Proxy serves callers and other daemons. Its methods may be called concurrently.
@@ -27,6 +28,9 @@
 	peers     basillift.Peers
 
 	pools    *pools
+	routes   *routes
+	gate     *gate
+	metrics  *counters
 	watcher  *watcher
 	caller   *fasthttp.Server
 	mesh     *fasthttp.Server
@@ -50,8 +54,10 @@
 	p := &Proxy{
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
-		pools: newPools(s), watcher: w,
+		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
+		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
+	p.metrics = newCounters(p)
 	p.caller = p.server(p.serveCaller, p.expectCaller)
 	p.mesh = p.server(p.serveMesh, p.expectMesh)
 	return p, nil
@@ -119,17 +125,21 @@
 // Run serves until ctx ends and then closes all connections. Drain must come
 // first for a stop that interrupts nobody.
 func (p *Proxy) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	failed := make(chan error, 2)
 	var group sync.WaitGroup
 	group.Go(p.watcher.loop)
 	group.Go(func() { failed <- p.caller.Serve(p.onCaller) })
 	group.Go(func() { failed <- p.mesh.Serve(p.onMesh) })
 	group.Go(func() { p.loop(ctx) })
+	group.Go(func() { p.gate.loop(ctx) })
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	cancel()
 	err = errors.Join(err, p.stop())
 	group.Wait()
 	if err != nil {
@@ -169,6 +179,7 @@
 // flight. When ctx ends first, the remaining calls are cut and their number returned.
 func (p *Proxy) Drain(ctx context.Context) int {
 	p.draining.Store(true)
+	p.gate.drain(time.Now())
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
 	quiet := time.Now()
@@ -191,7 +202,9 @@
 	calls := p.watcher.calls()
 	now := time.Now()
 	for _, k := range calls {
-		p.record(now, RecordRefused, k.event(now, basillift.EventCallCut))
+		if p.records(RecordRefused) {
+			p.recorder.Record(k.event(now, basillift.EventCallCut))
+		}
 		k.cancel()
 	}
 	return len(calls)
@@ -208,9 +221,3 @@
 	id = append(id, '-')
 	return string(strconv.AppendUint(id, n, 36))
 }
-
-func (p *Proxy) record(_ time.Time, level Recording, e basillift.Event) {
-	if p.settings.recording == RecordAll || p.settings.recording == level {
-		p.recorder.Record(e)
-	}
-}
--- a/basillift/blproxy/request.go
+++ b/basillift/blproxy/request.go
@@ -19,6 +19,7 @@
 		customer: string(h.Peek(HeaderCustomer)),
 		method:   string(h.Method()),
 		key:      string(h.Peek(HeaderKey)),
+		since:    now,
 		deadline: now.Add(p.settings.timeout),
 	}
 	k.conn, _ = ctx.Conn().(*callerConn)
--- a/basillift/blproxy/settings.go
+++ b/basillift/blproxy/settings.go
@@ -27,6 +27,9 @@
 	bufferSize       int
 	recording        Recording
 	lingerAfterDrain time.Duration
+	slots            int
+	targetLimit      int
+	queueLength      int
 }
 
 // NewSettings returns the default limits with the addresses on which callers and
@@ -48,6 +51,9 @@
 		connections: 512,
 		bufferSize:  64 << 10,
 		recording:   RecordRefused,
+		slots:       10,
+		targetLimit: 128,
+		queueLength: 256,
 	}
 }
 
@@ -93,3 +99,10 @@
 	s.lingerAfterDrain = d
 	return s
 }
+
+// WithTarget returns a copy with the calls that the target runs at once, the
+// connections that it accepts, and how many calls may wait for it.
+func (s Settings) WithTarget(slots, connections, queue int) Settings {
+	s.slots, s.targetLimit, s.queueLength = slots, connections, queue
+	return s
+}
--- /dev/null
+++ b/basillift/blproxy/trip.go
@@ -0,0 +1,158 @@
+package blproxy
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blretry"
+	"basillift.dev/basillift/blroute"
+)
+
+// mostTries is the first attempt and the two further ones that blretry allows.
+const mostTries = 3
+
+// trip is the way of one call through the caller side: its attempts at targets.
+type trip struct {
+	proxy  *Proxy
+	ctx    *fasthttp.RequestCtx
+	call   *call
+	out    *fasthttp.Request
+	body   *body
+	member basillift.Member
+	tried  [mostTries]basillift.VMID
+	count  int
+}
+
+// run sends the request until there is a response, or a failure that is final.
+func (t *trip) run(now time.Time) *refusal {
+	t.proxy.routes.called(now, t.call.service)
+	reason := t.choose(now)
+	if reason != basillift.ReasonNone {
+		return refuse(basillift.OutcomeNotRun, reason, "No target accepts calls.")
+	}
+	for number := 0; ; number++ {
+		failed, answered := t.attempt(now)
+		if failed == nil {
+			return nil
+		}
+		now = time.Now()
+		if t.again(now, number, failed) {
+			t.proxy.metrics.retries.Inc()
+			now = time.Now()
+			continue
+		}
+		if answered {
+			return nil
+		}
+		return failed.refusal()
+	}
+}
+
+func (t *trip) choose(now time.Time) basillift.Reason {
+	if t.count == mostTries {
+		return basillift.ReasonNoTarget
+	}
+	targets := t.proxy.directory.Targets(t.call.service)
+	m, reason := t.proxy.routes.start(now, targets, t.tried[:t.count])
+	if reason != basillift.ReasonNone {
+		return reason
+	}
+	t.member = m
+	t.tried[t.count] = m.ID()
+	t.count++
+	return basillift.ReasonNone
+}
+
+// attempt sends the request to the chosen target's daemon. Answered means that
+// the response holds a refusal of that daemon or of its target.
+func (t *trip) attempt(now time.Time) (failed *failure, answered bool) {
+	p, k := t.proxy, t.call
+	p.recordCall(now, k, basillift.EventCallRouted, t.member.ID())
+	if !k.setTimeout(now, t.out) {
+		p.routes.finished(now, t.member.ID(), blroute.ResultOK)
+		return &failure{basillift.OutcomeNotRun, basillift.ReasonDeadline, nil}, false
+	}
+	x := &exchange{call: k, pool: p.pools.of(t.member.Addresses().Mesh()), body: t.body, interrupt: interrupter(t.ctx)}
+	failed = x.send(now, t.out, &t.ctx.Response, p.settings.bufferSize)
+	if failed == nil {
+		failed = announced(&t.ctx.Response)
+		answered = failed != nil
+	}
+	t.finish(failed)
+	return failed, answered
+}
+
+// finish tells the chooser how the attempt ended, at the end of the response's body.
+func (t *trip) finish(failed *failure) {
+	routes, id := t.proxy.routes, t.member.ID()
+	result := resultOf(failed, t.ctx.Response.StatusCode())
+	stream, ok := t.ctx.Response.BodyStream().(*relay)
+	if failed != nil || !ok {
+		routes.finished(time.Now(), id, result)
+		return
+	}
+	stream.onEnd(func(bool) { routes.finished(time.Now(), id, result) })
+}
+
+// announced reads a refusal out of a response. A daemon marks each of its own
+// refusals, and removes such marks from what its target answers.
+func announced(response *fasthttp.Response) *failure {
+	outcome := response.Header.Peek(HeaderOutcome)
+	if len(outcome) == 0 {
+		return nil
+	}
+	f := &failure{outcome: basillift.OutcomeUnknown, reason: basillift.Reason(response.Header.Peek(HeaderReason))}
+	if string(outcome) == string(basillift.OutcomeNotRun) {
+		f.outcome = basillift.OutcomeNotRun
+	}
+	return f
+}
+
+// resultOf says how an attempt ended for the choice of targets. Refusals that
+// concern the customer say nothing about the target, nor does a caller that hung up.
+func resultOf(f *failure, status int) blroute.Result {
+	if f == nil {
+		if status >= fasthttp.StatusInternalServerError {
+			return blroute.ResultError
+		}
+		return blroute.ResultOK
+	}
+	switch f.reason {
+	case basillift.ReasonCallerGone, basillift.ReasonPlan, basillift.ReasonCustomer, basillift.ReasonRate,
+		basillift.ReasonConcurrency, basillift.ReasonQuarantined, basillift.ReasonBadRequest:
+		return blroute.ResultOK
+	case basillift.ReasonConnectFailed:
+		return blroute.ResultConnectFailed
+	case basillift.ReasonDeadline:
+		return blroute.ResultSlow
+	}
+	if f.outcome == basillift.OutcomeNotRun {
+		return blroute.ResultRefused
+	}
+	if f.err != nil {
+		return blroute.ResultCrashed
+	}
+	return blroute.ResultError
+}
+
+// again waits and chooses another target if the request may be sent once more.
+func (t *trip) again(now time.Time, number int, f *failure) bool {
+	k := t.call
+	reason := f.reason
+	if reason == basillift.ReasonTruncated && t.body.failed == nil {
+		// The response was cut, not the request.
+		reason = basillift.ReasonTarget
+	}
+	a := blretry.NewAttempt(number, k.depth, f.outcome, reason, k.deadline).
+		WithIdempotent(blretry.Idempotent(k.method)).
+		WithKeyed(k.key != "").
+		WithCallerGone(k.isCanceled()).
+		WithBodySent(t.body.touched)
+	d := t.proxy.routes.decide(now, k.service, a)
+	if !d.Retry() || !k.wait(d.Delay()) {
+		return false
+	}
+	return t.choose(time.Now()) == basillift.ReasonNone
+}
