basilliftlab: put long calls in flight at the demo's faults

At 200 calls/s of a few milliseconds hardly a call was in flight at a daemon when it was stopped or killed, so the checks of SIGTERM and drain could not fail. The demo now sends 16 calls of 500 ms before each of the three faults, and a drain or SIGTERM is charged with every call that ends as unknown or cut in its time, also through other daemons. The check fails when nothing was in flight.

--- a/basilliftlab/labdemo/check_test.go
+++ b/basilliftlab/labdemo/check_test.go
@@ -119,6 +119,25 @@
 	t.Run("unknown", func(t *testing.T) { counts(t, labload.VerdictUnknown, Kill{}, 0, 0, 0) })
 }
 
+// Guards against a planned stop that is judged without calls in flight, or that
+// is not charged with what it interrupted.
+func TestInterrupted(t *testing.T) {
+	is := is.New(t)
+	again := labload.NewResult(result("r", "", "", "", 0, 0).Call().Again(at(4), "vm1"), labload.VerdictUnknown, "", at(4), at(5))
+	results := []labload.Result{
+		result("before", labload.KindGet, labload.VerdictCut, "", 1, 2),
+		result("answered", labload.KindGet, labload.VerdictAnswered, "", 1, 4),
+		result("cut", labload.KindGet, labload.VerdictCut, "", 2, 4),
+		result("unknown", labload.KindPost, labload.VerdictUnknown, "", 4, 5),
+		result("refused", labload.KindPost, labload.VerdictRefused, "", 4, 5),
+		result("after", labload.KindGet, labload.VerdictLost, "", 4, 7),
+		again,
+	}
+	is.Equal(flying(results, "vm1", at(3)), 2)
+	is.Equal(flying(results, "vm2", at(3)), 0)
+	is.Equal(interrupted(results, at(3), at(6)), []string{results[2].String(), results[3].String()})
+}
+
 // Guards against a step back that a later reading hides.
 func TestWatcher(t *testing.T) {
 	is := is.New(t)
@@ -138,7 +157,7 @@
 	return evidence{
 		changes: 1, convergence: hdrhistogram.New(1, 1000, 3),
 		rights:  Rights{shown: map[int]int{0: 1}, allowed: 100, answered: 95},
-		drainAt: at(5), drainBefore: 1, drainLast: at(7),
+		drainAt: at(5), drainBefore: 1, drainLast: at(7), stopFlying: 1,
 	}
 }
 
@@ -171,7 +190,9 @@
 	t.Run("uncounted", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.dropped = 1 }) })
 	t.Run("late call at drained", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.drainLast = at(8) }) })
 	t.Run("drained unused", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.drainBefore = 0 }) })
-	t.Run("cut by SIGTERM", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.stopCut = 1 }) })
+	t.Run("cut by SIGTERM", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.stopCut = some }) })
+	t.Run("interrupted by the drain", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.drainCut = some }) })
+	t.Run("nothing in flight at SIGTERM", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.stopFlying = 0 }) })
 	t.Run("unclean", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.unclean = some }) })
 	t.Run("refuses all", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.rights.answered = 94 }) })
 }
--- a/basilliftlab/labdemo/fault.go
+++ b/basilliftlab/labdemo/fault.go
@@ -14,12 +14,29 @@
 func (d *Demo) killed() VM  { return d.mesh.servers(0)[1] }
 func (d *Demo) stopped() VM { return d.mesh.servers(1)[1] }
 
+// occupy sends long calls through a VM's daemon and, through the other daemons,
+// to its service, and returns while they are in flight.
+func (d *Demo) occupy(ctx context.Context, v VM) error {
+	others := d.mesh.VMs()
+	for n := range longCalls {
+		other := others[n%len(others)]
+		d.load.generator.Long(ctx, v.caller(), customerFull, v.service, longWork)
+		if w := d.watcher(other); other != v && w.live() {
+			d.load.generator.Long(ctx, other.caller(), customerFull, v.service, longWork)
+		}
+	}
+	return sleep(ctx, longLead)
+}
+
 // drain drains one target and lets the callers go on.
 func (d *Demo) drain(ctx context.Context) error {
 	before, err := d.client.target(ctx, d.drained())
 	if err != nil {
 		return err
 	}
+	if err := d.occupy(ctx, d.drained()); err != nil {
+		return err
+	}
 	if _, err := d.client.do(ctx, http.MethodPost, d.drained().admin(), "/drain", nil); err != nil {
 		return err
 	}
@@ -32,7 +49,7 @@
 // call is sent there.
 func (d *Demo) killDaemon(ctx context.Context) error {
 	v := d.killed()
-	if err := d.countBytes(ctx, v); err != nil {
+	if err := errors.Join(d.countBytes(ctx, v), d.occupy(ctx, v)); err != nil {
 		return err
 	}
 	d.watcher(v).end()
@@ -52,7 +69,7 @@
 // process has ended: each must be answered, refused or find no listener.
 func (d *Demo) stopDaemon(ctx context.Context) error {
 	v := d.stopped()
-	if err := d.countBytes(ctx, v); err != nil {
+	if err := errors.Join(d.countBytes(ctx, v), d.occupy(ctx, v)); err != nil {
 		return err
 	}
 	d.watcher(v).end()
@@ -119,7 +136,9 @@
 	e.counts = Count(results, e.kill)
 	e.rights = CheckRights(results, d.oracle)
 	e.runs = CheckRuns(results, runs)
-	e.stopCut = countStopped(results, e.stopCaller, e.stopAt)
+	e.drainCut = interrupted(results, e.drainAt, e.drainAt.Add(faultTime))
+	e.stopFlying = flying(results, e.stopCaller, e.stopAt)
+	e.stopCut = interrupted(results, e.stopAt, e.stopAt.Add(e.stopTook+faultTime))
 	e.loads = d.ledger.tally.Table()
 	return errors.Join(errs...)
 }
--- a/basilliftlab/labdemo/lists.go
+++ b/basilliftlab/labdemo/lists.go
@@ -53,6 +53,12 @@
 	customerSeasonal = "telavi"
 )
 
+// Customers whose rights never change: one with the first service only, one with all.
+const (
+	customerBasic = "kobuleti"
+	customerFull  = "ozurgeti"
+)
+
 // fillers is the number of customers that only make the list as long as a small company's.
 const fillers = 500
 
@@ -76,12 +82,12 @@
 
 // callers are the customers in whose names the demo sends calls.
 func callers() []string {
-	return []string{"kobuleti", "ozurgeti", customerMoved, customerSeasonal}
+	return []string{customerBasic, customerFull, customerMoved, customerSeasonal}
 }
 
 func (l *Lists) plan(customer string) string {
 	switch customer {
-	case "kobuleti":
+	case customerBasic:
 		return planBasic
 	case customerMoved:
 		return l.moved
--- a/basilliftlab/labdemo/options.go
+++ b/basilliftlab/labdemo/options.go
@@ -62,8 +62,15 @@
 	settleTime = time.Second
 	// faultTime lets the mesh notice a drain or a death: detection takes about 3 s.
 	faultTime = 5 * time.Second
+	// longWork and longLead make calls surely in flight at the moment of a fault.
+	longWork = 500 * time.Millisecond
+	longLead = 150 * time.Millisecond
 )
 
+// longCalls is how many calls are in flight through a daemon at its fault, and how
+// many more to its service through the others; together they fit the slots of a service.
+const longCalls = 8
+
 // The edits of the lists. The last ones come after the faults.
 const (
 	edits       = 10
--- a/basilliftlab/labdemo/report.go
+++ b/basilliftlab/labdemo/report.go
@@ -7,8 +7,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jedib0t/go-pretty/v6/table"
-
-	"basillift.dev/basilliftlab/labload"
 )
 
 // evidence is all that the checks need.
@@ -26,12 +24,14 @@
 	drainAt     time.Time
 	drainBefore int
 	drainLast   time.Time
+	drainCut    []string
 
 	kill       Kill
 	stopCaller string
 	stopAt     time.Time
 	stopTook   time.Duration
-	stopCut    int
+	stopFlying int
+	stopCut    []string
 	unclean    []string
 
 	controlBytes    uint64
@@ -40,17 +40,6 @@
 	loads           string
 }
 
-// countStopped counts the calls that a stopped daemon cut.
-func countStopped(results []labload.Result, caller string, at time.Time) int {
-	count := 0
-	for _, r := range results {
-		if r.Call().Address() == caller && r.Ended().After(at) && !r.Verdict().Honest() {
-			count++
-		}
-	}
-	return count
-}
-
 // check is one promise with what was seen of it.
 type check struct {
 	name     string
@@ -74,7 +63,8 @@
 		none("no answer without a run", e.runs.silent),
 		{"targets counted every run", e.dropped == 0, fmt.Sprintf("%d dropped", e.dropped), nil},
 		e.drainCheck(),
-		{"SIGTERM cut no call", e.stopCut == 0, fmt.Sprintf("%d cut, stop took %s", e.stopCut, e.stopTook.Round(time.Millisecond)), nil},
+		none("drain interrupted no call", e.drainCut),
+		e.stopCheck(),
 		none("processes stopped cleanly", e.unclean),
 		e.servedCheck(),
 	}
@@ -115,6 +105,11 @@
 	return check{"no new call at the drained target after 2 s", ok, seen, nil}
 }
 
+func (e evidence) stopCheck() check {
+	seen := fmt.Sprintf("%d in flight, %d interrupted, stop took %s", e.stopFlying, len(e.stopCut), e.stopTook.Round(time.Millisecond))
+	return check{"SIGTERM interrupted no call", e.stopFlying > 0 && len(e.stopCut) == 0, seen, e.stopCut}
+}
+
 // servedCheck guards against a mesh that keeps its promises by refusing.
 func (e evidence) servedCheck() check {
 	share := 0.0
--- a/basilliftlab/labload/call.go
+++ b/basilliftlab/labload/call.go
@@ -45,6 +45,7 @@
 	key      string
 	variant  int
 	intended time.Time
+	work     time.Duration
 	repeat   bool
 }
 
@@ -74,6 +75,9 @@
 // Intended is when the call should be sent; latency counts from here.
 func (c Call) Intended() time.Time { return c.intended }
 
+// Work is the work time that the call asks for beyond the usual one.
+func (c Call) Work() time.Duration { return c.work }
+
 // Repeat reports whether the call was sent before.
 func (c Call) Repeat() bool { return c.repeat }
 
--- a/basilliftlab/labload/client.go
+++ b/basilliftlab/labload/client.go
@@ -85,6 +85,9 @@
 	r.Header.Set("Basillift-Customer", call.customer)
 	r.Header.Set("Basillift-Timeout", strconv.FormatInt(c.timeout.Milliseconds(), 10))
 	r.Header.Set(labtarget.HeaderCall, call.id)
+	if call.work > 0 {
+		r.Header.Set(labtarget.HeaderWork, strconv.FormatInt(call.work.Milliseconds(), 10))
+	}
 	if call.key != "" {
 		r.Header.Set("Idempotency-Key", call.key)
 	}
--- a/basilliftlab/labload/generator.go
+++ b/basilliftlab/labload/generator.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// Long sends a call outside the usual course that takes a certain work time, so
+// that it surely is in flight at a daemon for a while. Run must not have ended.
+func (g *Generator) Long(ctx context.Context, address, customer, service string, work time.Duration) {
+	g.lock.Lock()
+	c := g.planner.Long(time.Now(), address, customer, service, work)
+	g.lock.Unlock()
+	g.send(ctx, c)
+}
+
 func (g *Generator) next() Call {
 	g.lock.Lock()
 	defer g.lock.Unlock()
--- a/basilliftlab/labload/planner.go
+++ b/basilliftlab/labload/planner.go
@@ -41,14 +41,25 @@
 // exponentially distributed interval.
 func (p *Planner) Next() Call {
 	p.next = p.next.Add(time.Duration(float64(p.interval) * p.random.ExpFloat64()))
-	p.count++
-	kind, address := p.mix.Draw(p.random), p.Address()
+	address := p.Address()
 	service, customer := p.services[p.random.Intn(len(p.services))], p.customers[p.random.Intn(len(p.customers))]
-	c := NewCall(fmt.Sprintf("%s-%d", p.run, p.count), kind, address, customer, service)
+	return p.call(p.next, address, customer, service)
+}
+
+// Long returns a call outside the usual course that takes a certain work time.
+func (p *Planner) Long(now time.Time, address, customer, service string, work time.Duration) Call {
+	c := p.call(now, address, customer, service)
+	c.work = work
+	return c
+}
+
+func (p *Planner) call(intended time.Time, address, customer, service string) Call {
+	p.count++
+	c := NewCall(fmt.Sprintf("%s-%d", p.run, p.count), p.mix.Draw(p.random), address, customer, service)
 	c.variant = p.random.Intn(uploadVariants)
-	c.intended = p.next
+	c.intended = intended
 	if c.kind == KindKeyed {
-		c.key = NewKey(p.next, p.random)
+		c.key = NewKey(intended, p.random)
 	}
 	return c
 }
--- a/basilliftlab/labload/tally.go
+++ b/basilliftlab/labload/tally.go
@@ -49,6 +49,8 @@
 	k := r.call.kind
 	t.verdicts[k][r.verdict]++
 	switch {
+	case r.verdict == VerdictAnswered && r.call.work > 0:
+		// A time that the caller asked for says nothing of the mesh.
 	case r.verdict == VerdictAnswered:
 		// Latencies above the bound are recorded as the bound.
 		_ = t.latencies[k].RecordValue(min(max(1, r.Latency().Microseconds()), maximumLatency))
--- a/basilliftlab/labtarget/target.go
+++ b/basilliftlab/labtarget/target.go
@@ -9,7 +9,8 @@
 //	err := t.Run(ctx) // drains when ctx ends
 //
 // Every path but the ones below is work. A call names itself with Lab-Call, its
-// answer's size with Lab-Size, and crashes the target with Lab-Crash: true.
+// answer's size with Lab-Size, additional work in ms with Lab-Work, and crashes
+// the target with Lab-Crash: true.
 //
 //	GET  /health      200 when willing, else 503
 //	GET  /load        {"slots":10,"used":3,"queue":0,"state":"ready"}
--- a/basilliftlab/labtarget/work.go
+++ b/basilliftlab/labtarget/work.go
@@ -17,6 +17,7 @@
 const (
 	HeaderCall  = "Lab-Call"
 	HeaderSize  = "Lab-Size"
+	HeaderWork  = "Lab-Work"
 	HeaderCrash = "Lab-Crash"
 )
 
@@ -27,11 +28,20 @@
 	headerReason  = "Basillift-Reason"
 )
 
-// defaultSize is the answer's size in bytes when the caller names none.
-const defaultSize = 512
+const (
+	// defaultSize is the answer's size in bytes when the caller names none.
+	defaultSize = 512
+	// maximumWork bounds the additional work time in ms that a caller can ask for.
+	maximumWork = 60_000
+)
 
 func (t *Target) work(w http.ResponseWriter, r *http.Request) {
-	size, err := answerSize(r)
+	size, err := number(r, HeaderSize, defaultSize, MaximumAnswer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	extra, err := number(r, HeaderWork, 0, maximumWork)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -50,19 +60,20 @@
 		t.options.log.Error().Str("call", r.Header.Get(HeaderCall)).Msg("crash requested")
 		t.options.crash()
 	}
-	t.answer(w, r, count, size)
+	t.answer(w, r, count, size, time.Duration(extra)*time.Millisecond)
 }
 
-func answerSize(r *http.Request) (int, error) {
-	text := r.Header.Get(HeaderSize)
+// number reads a header that steers the stand-in.
+func number(r *http.Request, header string, absent, most int) (int, error) {
+	text := r.Header.Get(header)
 	if text == "" {
-		return defaultSize, nil
+		return absent, nil
 	}
-	size, err := strconv.ParseUint(text, 10, 32)
-	if err != nil || size > MaximumAnswer {
-		return 0, fmt.Errorf("%s is %q, allowed are 0 to %d: %w", HeaderSize, text, MaximumAnswer, ErrSwitch)
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > most {
+		return 0, fmt.Errorf("%s is %q, allowed are 0 to %d: %w", header, text, most, ErrSwitch)
 	}
-	return int(size), nil
+	return n, nil
 }
 
 func (t *Target) enter(now time.Time) string {
@@ -116,7 +127,7 @@
 
 // answer reads the whole request, works and sends the answer. A caller that
 // hangs up ends the work.
-func (t *Target) answer(w http.ResponseWriter, r *http.Request, count, size int) {
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, count, size int, extra time.Duration) {
 	hash := sha256.New()
 	read, err := io.Copy(hash, r.Body)
 	if err != nil {
@@ -127,7 +138,7 @@
 		return
 	}
 	select {
-	case <-time.After(t.workTime()):
+	case <-time.After(t.workTime() + extra):
 	case <-r.Context().Done():
 		t.countEnd(false)
 		return
