--- a/basilliftd/source.go
+++ b/basilliftd/source.go
@@ -7,18 +7,20 @@
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blnode"
 	"basillift.dev/basillift/blnotice"
+	"basillift.dev/basillift/blproxy"
 	"basillift.dev/basillift/bltimeline"
 )
 
 // source joins what the parts show to operators.
 type source struct {
 	node     *blnode.Node
+	proxy    *blproxy.Proxy
 	timeline *bltimeline.Log
 	notices  *blnotice.Service
 }
 
-func newSource(n *blnode.Node, timeline *bltimeline.Log, notices *blnotice.Service) *source {
-	return &source{node: n, timeline: timeline, notices: notices}
+func newSource(n *blnode.Node, p *blproxy.Proxy, timeline *bltimeline.Log, notices *blnotice.Service) *source {
+	return &source{node: n, proxy: p, timeline: timeline, notices: notices}
 }
 
 // Status describes the daemon.
@@ -37,7 +39,10 @@
 func (s *source) Drain() { s.node.SetState(basillift.TargetDraining) }
 
 // WriteMetrics writes the metrics of all parts as Prometheus text.
-func (s *source) WriteMetrics(w io.Writer) { s.node.Metrics().WritePrometheus(w) }
+func (s *source) WriteMetrics(w io.Writer) {
+	s.node.Metrics().WritePrometheus(w)
+	s.proxy.WriteMetrics(w)
+}
 
 // Explain says step by step where a call would go.
 func (s *source) Explain(time.Time, string, string, string) []string { return nil }
--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -20,6 +20,11 @@
 	"basillift.dev/basillift/bltimeline"
 )
 
+// drainLinger is how long a stopping daemon goes on refusing calls as "not run" after its last call. A
+// drain reaches the other daemons in milliseconds; a call that they send before
+// that would otherwise meet a closed connection, with an unknown outcome.
+const drainLinger = time.Second
+
 var (
 	errListen = eris.New("could not listen")
 	errCut    = eris.New("stop cut calls")
@@ -69,6 +74,8 @@
 func newProxy(s blsettings.Settings, n *blnode.Node, timeline *bltimeline.Log) (*blproxy.Proxy, error) {
 	limits := blproxy.NewSettings(s.Caller(), s.Addresses().Mesh(), s.Target()).
 		WithTimeouts(s.Timeout(), s.Longest()).
+		WithTarget(s.Slots(), s.Connections(), s.Queue()).
+		WithLinger(drainLinger).
 		WithRecording(blproxy.Recording(s.Trace()))
 	proxy, err := blproxy.New(limits, n, n, n, n, timeline, n)
 	if err != nil {
