basilliftlab: fail the demo when no control bytes were counted

The first wired daemon exports no basillift_control_bytes_total and the demo reported control_bytes=0 as if it were a good figure. A sum of 0 now fails its own check.

--- a/basilliftlab/labdemo/check_test.go
+++ b/basilliftlab/labdemo/check_test.go
@@ -157,7 +157,7 @@
 	return evidence{
 		changes: 1, convergence: hdrhistogram.New(1, 1000, 3),
 		rights:  Rights{shown: map[int]int{0: 1}, allowed: 100, answered: 95},
-		drainAt: at(5), drainBefore: 1, drainLast: at(7), stopFlying: 1,
+		drainAt: at(5), drainBefore: 1, drainLast: at(7), stopFlying: 1, controlBytes: 1,
 	}
 }
 
@@ -194,6 +194,7 @@
 	t.Run("interrupted by the drain", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.drainCut = some }) })
 	t.Run("nothing in flight at SIGTERM", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.stopFlying = 0 }) })
 	t.Run("unclean", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.unclean = some }) })
+	t.Run("no control bytes", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.controlBytes = 0 }) })
 	t.Run("refuses all", func(t *testing.T) { fails(t, 1, func(e *evidence) { e.rights.answered = 94 }) })
 }
 
--- a/basilliftlab/labdemo/report.go
+++ b/basilliftlab/labdemo/report.go
@@ -67,6 +67,8 @@
 		e.stopCheck(),
 		none("processes stopped cleanly", e.unclean),
 		e.servedCheck(),
+		// A renamed metric or a mesh whose daemons do not talk would report 0.
+		{"control bytes were counted", e.controlBytes > 0, fmt.Sprint(e.controlBytes), nil},
 	}
 	return c
 }
