bltarget: state of the local target from endpoints and calls

Cause: the daemon has to announce its target's state, and health and load endpoints lag and mislead.

Poller asks /health and /load and hands changes to basillift.LocalTarget. blproxy reports results through ObserveCalls, without those that a caller's short deadline or hang-up caused.

--- a/basillift/blproxy/mesh.go
+++ b/basillift/blproxy/mesh.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blroute"
 )
 
 // expectMesh lets the body of another daemon's call come: daemons do not wait for "100 Continue".
@@ -118,6 +119,7 @@
 	p.recordCall(now, k, basillift.EventCallStarted, "")
 	x := &exchange{call: k, pool: p.pools.of(p.settings.targetAddress), body: b, interrupt: interrupter(ctx)}
 	failed := x.send(now, out, &ctx.Response, p.settings.bufferSize)
+	p.tellObserver(now, k, b, failed)
 	if failed != nil {
 		return failed.refusal()
 	}
@@ -125,6 +127,33 @@
 	return nil
 }
 
+// slowFrom is the least time that a target must have had for a missed deadline to
+// count against it: callers may set deadlines that no target can meet.
+const slowFrom = time.Second
+
+// tellObserver reports how the target did. A call that ended because of its caller says nothing about it.
+func (p *Proxy) tellObserver(started time.Time, k *call, b *body, f *failure) {
+	if p.calls == nil || k.isCanceled() || b.failed != nil {
+		return
+	}
+	result := blroute.ResultOK
+	switch {
+	case f == nil:
+	case f.reason == basillift.ReasonOverload:
+		return
+	case f.reason == basillift.ReasonDeadline:
+		if k.deadline.Sub(started) < slowFrom {
+			return
+		}
+		result = blroute.ResultSlow
+	case f.reason == basillift.ReasonConnectFailed:
+		result = blroute.ResultConnectFailed
+	default:
+		result = blroute.ResultCrashed
+	}
+	p.calls.ObserveCall(time.Now(), result)
+}
+
 // sanitize keeps a target from speaking for basillift, except for the one thing
 // it may announce: that it did not run a call that it answers with 503.
 func sanitize(response *fasthttp.Response) {
--- a/basillift/blproxy/policies_test.go
+++ b/basillift/blproxy/policies_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blroute"
 )
 
 // scripted is a target that answers each request with the same bytes and counts them.
@@ -163,6 +165,33 @@
 	})
 }
 
+// results is a fake that takes the results of calls to the target.
+type results chan blroute.Result
+
+func (r results) ObserveCall(_ time.Time, result blroute.Result) { r <- result }
+
+// TestObserver guards against a target that is blamed for its callers, or not for itself.
+func TestObserver(t *testing.T) {
+	cases := []struct{ name, reply, header, want string }{
+		{"answer", okAnswer, "", "ok"},
+		{"error answer", errorAnswer, "", "ok"},
+		{"no answer", "", "", "crashed"},
+		{"deadline too short", "HTTP/1.1 ", "Basillift-Timeout: 20", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int32
+			caller, called := startPair(t, scripted(t, &runs, c.reply), nil)
+			seen := make(results, 1)
+			called.ObserveCalls(seen)
+			_ = caller.ask(t, "POST", "/catalogue/1", "", c.header)
+			eventually(t, func() bool { return called.InFlight() == 0 })
+			close(seen)
+			is.New(t).Equal(string(<-seen), c.want)
+		})
+	}
+}
+
 // TestEvents guards against a timeline from which a call's run cannot be told.
 func TestEvents(t *testing.T) {
 	caller, called := startPair(t, startTarget(t, echo), nil)
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmit"
+	"basillift.dev/basillift/blroute"
 )
 
 // Proxy serves callers and other daemons. Its methods may be called concurrently.
@@ -26,6 +27,7 @@
 	observer  basillift.VersionObserver
 	recorder  basillift.Recorder
 	peers     basillift.Peers
+	calls     CallObserver
 
 	pools    *pools
 	routes   *routes
@@ -42,6 +44,14 @@
 	lastCall atomic.Uint64
 }
 
+// CallObserver is told how the calls to the VM's own target end. It must not block.
+type CallObserver interface {
+	ObserveCall(now time.Time, r blroute.Result)
+}
+
+// ObserveCalls sets who is told of calls to the target. It must come before Run.
+func (p *Proxy) ObserveCalls(o CallObserver) { p.calls = o }
+
 // New returns a proxy that is not listening yet.
 func New(s Settings, source basillift.ConfigurationSource, directory basillift.Directory,
 	target basillift.LocalTarget, observer basillift.VersionObserver, recorder basillift.Recorder,
--- /dev/null
+++ b/basillift/bltarget/poller_test.go
@@ -0,0 +1,74 @@
+package bltarget
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"basillift.dev/basillift"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// fasthttp starts this goroutine once for the Date header and never ends it.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		// These two of fasthttp end by themselves some seconds after their server or client.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"))
+}
+
+// local is a fake of the daemon's own target record.
+type local struct{ state atomic.Value }
+
+func (l *local) State() basillift.TargetState     { return l.state.Load().(basillift.TargetState) }
+func (l *local) SetState(s basillift.TargetState) { l.state.Store(s) }
+
+// Guards against a target whose state is not announced, or taken from a broken report.
+func TestPoller(t *testing.T) {
+	var report atomic.Value
+	report.Store(`{"slots":10,"used":3,"queue":0,"state":"ready"}`)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/load" {
+			ctx.SetBodyString(report.Load().(string))
+		}
+	}}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	own := &local{}
+	own.SetState(basillift.TargetStarting)
+	poller := New(NewSettings(l.Addr().String()).WithInterval(time.Millisecond, time.Second), own)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); poller.Run(ctx) }()
+
+	waitFor(own, basillift.TargetReady)
+	is.New(t).Equal(poller.Load().Used(), 3)
+	report.Store(`{"state":"shedding"}`)
+	waitFor(own, basillift.TargetShedding)
+	report.Store(`{"state":`)
+	waitFor(own, basillift.TargetReady)
+	poller.Drain()
+	is.New(t).Equal(own.State(), basillift.TargetDraining)
+	own.SetState(basillift.TargetGone)
+	poller.poll()
+	is.New(t).Equal(own.State(), basillift.TargetGone)
+
+	cancel()
+	<-done
+	is.New(t).NoErr(server.Shutdown())
+	is.New(t).NoErr(<-served)
+}
+
+func waitFor(l *local, s basillift.TargetState) {
+	for l.State() != s {
+		time.Sleep(time.Millisecond)
+	}
+}
