Poll the target; show the version of this moment in status

Cause: the demo saw a convergence of 413 ms (p50) because status was written once a tick of 500 ms, and no control bytes because their metric had another name. Change: bltarget decides the state of the target; status reads version, state and readiness when it is asked; one metric basillift_control_bytes_total with purpose and direction.

--- a/basillift/blnode/status.go
+++ b/basillift/blnode/status.go
@@ -16,12 +16,19 @@
 	}
 }
 
-// Status returns what the daemon tells operators about itself, at most one tick old.
+// Status returns what the daemon tells operators about itself. Members and counts are at
+// most one tick old; version, digest, state and readiness are those of this moment, so that an
+// operator can follow a change over the daemons.
 func (n *Node) Status() Status {
+	status := Status{Name: string(n.Self().ID())}
 	if s := n.status.Load(); s != nil {
-		return *s
+		status = *s
 	}
-	return Status{Name: string(n.Self().ID())}
+	status.State, status.Ready = string(n.State()), n.Ready()
+	if held := n.store.Snapshot(); held != nil {
+		status.Version, status.Digest, status.Customers = held.Version().String(), formatDigest(held.Digest()), held.Customers()
+	}
+	return status
 }
 
 func (n *Node) writeStatus(now time.Time) {
@@ -82,10 +89,10 @@
 func (n *Node) newMetrics() *metrics.Set {
 	set := metrics.NewSet()
 	for _, p := range purposes() {
-		set.NewGauge(fmt.Sprintf(`basillift_control_sent_bytes_total{purpose=%q}`, p), func() float64 {
+		set.NewGauge(fmt.Sprintf(`basillift_control_bytes_total{purpose=%q,direction="sent"}`, p), func() float64 {
 			return float64(n.Counters().Sent(p))
 		})
-		set.NewGauge(fmt.Sprintf(`basillift_control_received_bytes_total{purpose=%q}`, p), func() float64 {
+		set.NewGauge(fmt.Sprintf(`basillift_control_bytes_total{purpose=%q,direction="received"}`, p), func() float64 {
 			return float64(n.Counters().Received(p))
 		})
 	}
--- a/basilliftd/run.go
+++ b/basilliftd/run.go
@@ -15,6 +15,7 @@
 	"basillift.dev/basillift/blnotice"
 	"basillift.dev/basillift/blproxy"
 	"basillift.dev/basillift/blsettings"
+	"basillift.dev/basillift/bltarget"
 	"basillift.dev/basillift/bltimeline"
 )
 
@@ -28,6 +29,7 @@
 	timeline *bltimeline.Log
 	node     *blnode.Node
 	proxy    *blproxy.Proxy
+	poller   *bltarget.Poller
 	notices  *blnotice.Service
 	admin    *bladmin.Server
 	tasks    sync.WaitGroup
@@ -35,10 +37,10 @@
 }
 
 func newDaemon(s blsettings.Settings, l *bllog.Logger, timeline *bltimeline.Log, n *blnode.Node,
-	p *blproxy.Proxy, notices *blnotice.Service, admin *bladmin.Server,
+	p *blproxy.Proxy, poller *bltarget.Poller, notices *blnotice.Service, admin *bladmin.Server,
 ) *daemon {
 	return &daemon{
-		settings: s, log: l, timeline: timeline, node: n, proxy: p, notices: notices, admin: admin,
+		settings: s, log: l, timeline: timeline, node: n, proxy: p, poller: poller, notices: notices, admin: admin,
 		failed: make(chan error, 4),
 	}
 }
@@ -58,7 +60,7 @@
 	d.start(func() error { return d.proxy.Run(serving) })
 	d.start(func() error { return d.admin.Run(admin) })
 	d.start(func() error { d.notices.Run(serving); return nil })
-	d.node.SetState(basillift.TargetReady)
+	d.start(func() error { d.poller.Run(serving); return nil })
 	d.log.Event(bllog.Started()).Str("domain", string(d.settings.Place().FailureDomain())).Send()
 	select {
 	case <-ctx.Done():
@@ -82,7 +84,7 @@
 	now := time.Now()
 	d.log.Event(bllog.Stopping()).Send()
 	d.timeline.Record(basillift.NewEvent(now, basillift.EventStopping))
-	d.node.SetState(basillift.TargetDraining)
+	d.poller.Drain()
 	draining, done := context.WithTimeout(context.Background(), d.settings.Drain())
 	defer done()
 	cut := d.proxy.Drain(draining)
--- a/basilliftd/source.go
+++ b/basilliftd/source.go
@@ -8,6 +8,7 @@
 	"basillift.dev/basillift/blnode"
 	"basillift.dev/basillift/blnotice"
 	"basillift.dev/basillift/blproxy"
+	"basillift.dev/basillift/bltarget"
 	"basillift.dev/basillift/bltimeline"
 )
 
@@ -15,12 +16,13 @@
 type source struct {
 	node     *blnode.Node
 	proxy    *blproxy.Proxy
+	poller   *bltarget.Poller
 	timeline *bltimeline.Log
 	notices  *blnotice.Service
 }
 
-func newSource(n *blnode.Node, p *blproxy.Proxy, timeline *bltimeline.Log, notices *blnotice.Service) *source {
-	return &source{node: n, proxy: p, timeline: timeline, notices: notices}
+func newSource(n *blnode.Node, p *blproxy.Proxy, poller *bltarget.Poller, timeline *bltimeline.Log, notices *blnotice.Service) *source {
+	return &source{node: n, proxy: p, poller: poller, timeline: timeline, notices: notices}
 }
 
 // Status describes the daemon.
@@ -36,7 +38,7 @@
 func (s *source) Notices() []blnotice.Message { return s.notices.Open() }
 
 // Drain begins to drain the VM's target.
-func (s *source) Drain() { s.node.SetState(basillift.TargetDraining) }
+func (s *source) Drain() { s.poller.Drain() }
 
 // WriteMetrics writes the metrics of all parts as Prometheus text.
 func (s *source) WriteMetrics(w io.Writer) {
--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -17,6 +17,7 @@
 	"basillift.dev/basillift/blplatform"
 	"basillift.dev/basillift/blproxy"
 	"basillift.dev/basillift/blsettings"
+	"basillift.dev/basillift/bltarget"
 	"basillift.dev/basillift/bltimeline"
 )
 
@@ -37,7 +38,7 @@
 		func() blsettings.Settings { return settings },
 		func() *bllog.Logger { return log },
 		func() basillift.Member { return settings.Member(time.Now()) },
-		newTimeline, newPlatform, newNode, newProxy, newNotices, newSource, newAdmin, newDaemon,
+		newTimeline, newPlatform, newNode, newProxy, newPoller, newNotices, newSource, newAdmin, newDaemon,
 	}
 	for _, f := range constructors {
 		if err := c.Provide(f); err != nil {
@@ -84,6 +85,13 @@
 	return proxy, nil
 }
 
+// newPoller feeds the state of the target with the results of calls.
+func newPoller(s blsettings.Settings, n *blnode.Node, p *blproxy.Proxy) *bltarget.Poller {
+	poller := bltarget.New(bltarget.NewSettings(s.Target()), n)
+	p.ObserveCalls(poller)
+	return poller
+}
+
 func newNotices(s blsettings.Settings, n *blnode.Node, timeline *bltimeline.Log, log *bllog.Logger) *blnotice.Service {
 	detect := func(now time.Time) []blnotice.Condition { return blnotice.Detect(viewOf(n)) }
 	service := blnotice.NewService(n, n, timeline, log, detect, s.Notify())
