blplatform: refuse redirections, check for goroutines left behind

Cause: the client followed a redirection to any server, which the platform's protocol does not have; nothing showed that a watch that is given up ends.

Change: a redirection is an ErrProtocol (its test fails without the change); the tests of blplatform end with goleak; a test shows the bound of a decompressed full transfer.

--- a/basillift/blconfig/apply_test.go
+++ b/basillift/blconfig/apply_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"github.com/klauspost/compress/zstd"
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
@@ -99,3 +100,12 @@
 		})
 	}
 }
+
+// Guards against a small message that takes all memory of a daemon.
+func TestFullBound(t *testing.T) {
+	encoder, err := zstd.NewWriter(nil)
+	is := is.New(t)
+	is.NoErr(err)
+	_, err = DecodeFull(encoder.EncodeAll(make([]byte, MaxFull+1), nil))
+	is.True(errors.Is(err, zstd.ErrDecoderSizeExceeded))
+}
--- a/basillift/blplatform/client.go
+++ b/basillift/blplatform/client.go
@@ -73,7 +73,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	c := &Client{
 		base:    parsed.JoinPath("v1", "keys").String(),
-		client:  &http.Client{Transport: transport},
+		client:  &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		wait:    defaultWait,
 		timeout: defaultTimeout,
 	}
@@ -83,6 +83,10 @@
 	return c, nil
 }
 
+// refuseRedirect returns a redirection as the answer, which readValue refuses: the
+// protocol has none, and the address of the platform comes from settings only.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
--- a/basillift/blplatform/client_test.go
+++ b/basillift/blplatform/client_test.go
@@ -70,6 +70,11 @@
 			is.New(t).True(errors.Is(err, c.want))
 		})
 	}
+	t.Run("redirection", func(t *testing.T) {
+		elsewhere := serve(t, answer{status: 200, mod: "3", store: "9", body: "{}"})
+		_, err := serve(t, http.RedirectHandler(elsewhere.base+"/customers", http.StatusFound)).Read(context.Background(), "customers")
+		is.New(t).True(errors.Is(err, ErrProtocol))
+	})
 	t.Run("no server", func(t *testing.T) {
 		server := httptest.NewServer(http.NotFoundHandler())
 		server.Close()
--- a/basillift/blplatform/main_test.go
+++ b/basillift/blplatform/main_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
 // TestMain fixes the seed of the rapid checks, so that a run can be repeated; -rapid.seed gives another.
@@ -14,5 +15,5 @@
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m) // a watch that is given up must not stay behind
 }
