--- a/basillift/blconfig/apply_test.go
+++ b/basillift/blconfig/apply_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"github.com/klauspost/compress/zstd"
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
@@ -63,8 +64,11 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, err := Build(basillift.NewVersion(1, 1), bllist.NewLists(1, c.services, c.plans, c.customers))
-			is.New(t).True(errors.Is(err, c.want))
+			is, lists := is.New(t), bllist.NewLists(1, c.services, c.plans, c.customers)
+			_, err := Build(basillift.NewVersion(1, 6), lists)
+			is.True(errors.Is(err, c.want))
+			_, err = snapshot(t, 5, map[string]string{"kobuleti": "basic"}).Update(basillift.NewVersion(1, 6), lists)
+			is.True(errors.Is(err, c.want))
 		})
 	}
 }
@@ -96,3 +100,12 @@
 		})
 	}
 }
+
+// Guards against a small message that takes all memory of a daemon.
+func TestFullBound(t *testing.T) {
+	encoder, err := zstd.NewWriter(nil)
+	is := is.New(t)
+	is.NoErr(err)
+	_, err = DecodeFull(encoder.EncodeAll(make([]byte, MaxFull+1), nil))
+	is.True(errors.Is(err, zstd.ErrDecoderSizeExceeded))
+}
