--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -29,6 +29,9 @@
 	now := time.Now()
 	k, r := p.begin(ctx, now)
 	p.enter(k)
+	if r == nil && p.closing.Load() {
+		r = refuse(basillift.OutcomeNotRun, basillift.ReasonDraining, "The daemon is stopping.")
+	}
 	if r == nil {
 		p.recordCall(now, k, basillift.EventCallAccepted, "")
 		r = p.forward(ctx, k, now)
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -40,6 +40,7 @@
 	onMesh   net.Listener
 
 	draining atomic.Bool
+	closing  atomic.Bool
 	inFlight atomic.Int64
 	lastCall atomic.Uint64
 }
@@ -185,23 +186,26 @@
 // drainCheck is how often Drain looks whether calls are still in flight.
 const drainCheck = 5 * time.Millisecond
 
-// Drain refuses new calls from other daemons and waits until no call is in
-// flight. When ctx ends first, the remaining calls are cut and their number returned.
+// Drain refuses new calls from other daemons at once, and new calls from callers
+// after the linger time. It returns when no call is in flight. When ctx ends
+// first, the remaining calls are cut and their number returned.
 func (p *Proxy) Drain(ctx context.Context) int {
 	p.draining.Store(true)
 	p.gate.drain(time.Now())
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	quiet := time.Now()
+	end := time.Now().Add(p.settings.lingerAfterDrain)
 	for {
 		select {
 		case <-ctx.Done():
 			return p.cut()
 		case now := <-ticker.C:
-			if p.inFlight.Load() > 0 {
-				quiet = now
+			if now.Before(end) {
+				continue
 			}
-			if now.Sub(quiet) >= p.settings.lingerAfterDrain && p.inFlight.Load() == 0 {
+			// Without this a caller that never pauses would keep the daemon from stopping.
+			p.closing.Store(true)
+			if p.inFlight.Load() == 0 {
 				return 0
 			}
 		}
--- a/basillift/blproxy/request.go
+++ b/basillift/blproxy/request.go
@@ -157,7 +157,9 @@
 	r.write(&ctx.Response)
 	if r.reason == basillift.ReasonBadRequest {
 		ctx.SetConnectionClose()
+		return
 	}
+	discardBody(ctx)
 }
 
 // refuseMalformed answers a request that fasthttp could not parse.
