--- /dev/null
+++ b/basillift/blproxy/caller.go
@@ -0,0 +1,118 @@
+package blproxy
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blroute"
+)
+
+// expectCaller answers a caller that waits for "100 Continue" before it sends
+// its body: a request that would be refused anyway is refused without it.
+func (p *Proxy) expectCaller(ctx *fasthttp.RequestCtx) int {
+	k, r := p.begin(ctx, time.Now())
+	if r == nil {
+		_, _, r = p.allowed(k)
+	}
+	if r == nil {
+		return fasthttp.StatusContinue
+	}
+	answer(ctx, r)
+	return r.status
+}
+
+// serveCaller handles a request of a caller on this VM.
+func (p *Proxy) serveCaller(ctx *fasthttp.RequestCtx) {
+	now := time.Now()
+	k, r := p.begin(ctx, now)
+	p.enter(k)
+	if r == nil && p.closing.Load() {
+		r = refuse(basillift.OutcomeNotRun, basillift.ReasonDraining, "The daemon is stopping.")
+	}
+	if r == nil {
+		p.recordCall(now, k, basillift.EventCallAccepted, "")
+		r = p.forward(ctx, k, now)
+	}
+	if r != nil {
+		p.finishRefused(ctx, k, r, &p.metrics.caller)
+	}
+	if p.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// allowed checks customer, plan and service against the version in force.
+func (p *Proxy) allowed(k *call) (basillift.Configuration, basillift.Plan, *refusal) {
+	c, ok := p.source.Current()
+	if !ok {
+		return nil, basillift.Plan{}, refuse(basillift.OutcomeNotRun, basillift.ReasonNoVersion, "No configuration is in force yet.")
+	}
+	plan, reason := blroute.Check(c, k.customer, k.service)
+	switch reason {
+	case basillift.ReasonNone:
+		return c, plan, nil
+	case basillift.ReasonCustomer:
+		return c, plan, refuse(basillift.OutcomeNotRun, reason, "The customer is not known.")
+	case basillift.ReasonService:
+		return c, plan, refuse(basillift.OutcomeNotRun, reason, "The service is not known.")
+	default:
+		return c, plan, refuse(basillift.OutcomeNotRun, reason, "The customer's plan does not include the service.")
+	}
+}
+
+// forward sends the call to a target's daemon. It returns the refusal to answer, or nil if there is a response.
+func (p *Proxy) forward(ctx *fasthttp.RequestCtx, k *call, now time.Time) *refusal {
+	c, _, r := p.allowed(k)
+	if r != nil {
+		return r
+	}
+	if k.depth >= p.settings.depthLimit {
+		return refuse(basillift.OutcomeNotRun, basillift.ReasonDepth, "The call chain is too deep.")
+	}
+	b, r := p.takeBody(ctx, k)
+	if r != nil {
+		return r
+	}
+	out := fasthttp.AcquireRequest()
+	k.prepare(ctx, out)
+	out.Header.Set(HeaderDepth, strconv.Itoa(k.depth+1))
+	out.Header.Set(HeaderVersion, c.Version().String())
+	out.Header.Set(HeaderFrom, string(p.directory.Self().ID()))
+	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b}
+	r = t.run(now)
+	fasthttp.ReleaseRequest(out)
+	b.release()
+	if r == nil {
+		p.finishAnswered(ctx, k, basillift.EventCallAnswered, &p.metrics.caller)
+	}
+	return r
+}
+
+// takeBody reads the buffered part of the body within the deadline.
+func (p *Proxy) takeBody(ctx *fasthttp.RequestCtx, k *call) (*body, *refusal) {
+	if ctx.Request.IsBodyStream() {
+		_ = ctx.SetReadDeadline(k.deadline)
+	}
+	b, err := readBody(&ctx.Request, p.settings.bufferSize)
+	if err != nil {
+		b.release()
+		return nil, refuse(basillift.OutcomeNotRun, basillift.ReasonBadRequest, "The request body did not arrive in full.")
+	}
+	return b, nil
+}
+
+// interrupter returns a function that ends a read from the caller's connection.
+func interrupter(ctx *fasthttp.RequestCtx) func() {
+	return func() { _ = ctx.SetReadDeadline(time.Unix(1, 0)) }
+}
+
+func (f *failure) refusal() *refusal {
+	message := "The target gave no complete answer."
+	if f.outcome == basillift.OutcomeNotRun {
+		message = "The target was not reached."
+	}
+	return refuse(f.outcome, f.reason, message)
+}
