blrpc: free closed connections; blnode: readers share unchanged content

Cause: a list of connections that became empty kept its last entry in the backing array, so that every peer ever met held 0.9 MB of zstd state.

Change: slices.Delete clears the freed place; a test checks the backing array.

--- a/basillift/blnode/measure_test.go
+++ b/basillift/blnode/measure_test.go
@@ -156,8 +156,13 @@
 // reportDelta prints what the last delta takes when it is compressed alone.
 func reportDelta(t *testing.T, m *mesh) {
 	t.Helper()
-	n := m.hosts["a-0"].node
-	data, _ := ask(context.Background(), n, func(time.Time) []byte { return n.encoded.data })
+	var data []byte
+	for _, h := range m.hosts {
+		sent, _ := ask(context.Background(), h.node, func(time.Time) []byte { return h.node.encoded.data })
+		if len(sent) > 0 {
+			data = sent
+		}
+	}
 	encoder, err := zstd.NewWriter(nil)
 	if err != nil {
 		t.Fatal(err)
--- a/basillift/blnode/reader.go
+++ b/basillift/blnode/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand"
 	"sync"
 	"time"
@@ -144,7 +145,7 @@
 		pause(ctx, wait)
 		return false
 	}
-	s, err := blconfig.Build(cut.Version(), cut.Lists())
+	s, err := r.build(cut)
 	if err != nil {
 		r.node.put(ctx, func(now time.Time) { r.node.refuseVersion(now, cut.Version(), "", err.Error()) })
 		return true
@@ -153,6 +154,23 @@
 	return true
 }
 
+// build shares with the version in force whatever did not change.
+func (r *reader) build(cut bllist.Cut) (*blconfig.Snapshot, error) {
+	held := r.node.store.Snapshot()
+	if held == nil {
+		s, err := blconfig.Build(cut.Version(), cut.Lists())
+		if err != nil {
+			return nil, fmt.Errorf("build snapshot: %w", err)
+		}
+		return s, nil
+	}
+	s, err := held.Update(cut.Version(), cut.Lists())
+	if err != nil {
+		return nil, fmt.Errorf("update snapshot: %w", err)
+	}
+	return s, nil
+}
+
 // refuse records a version whose lists have problems, once.
 func (n *Node) refuse(now time.Time, e *bllist.InvalidError) {
 	p := e.Problems()[0]
--- a/basillift/blrpc/peer.go
+++ b/basillift/blrpc/peer.go
@@ -203,16 +203,17 @@
 	r.backoff, r.retryAt = 0, time.Time{}
 }
 
+// remove reports whether l was the last connection. slices.Delete clears the freed place,
+// which otherwise holds the closed connection and its 1 MB for ever.
 func (r *peer) remove(l *link) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for i, o := range r.links {
-		if o == l {
-			r.links = append(r.links[:i:i], r.links[i+1:]...)
-			return len(r.links) == 0
-		}
+	i := slices.Index(r.links, l)
+	if i < 0 {
+		return false
 	}
-	return false
+	r.links = slices.Delete(r.links, i, i+1)
+	return len(r.links) == 0
 }
 
 func (r *peer) closeAll() {
--- a/basillift/blrpc/pool_test.go
+++ b/basillift/blrpc/pool_test.go
@@ -211,6 +211,19 @@
 	is.True(f.pools["a"].peer("c").current() != nil)
 }
 
+// Guards against closed connections that stay in memory through the list of their peer.
+func TestRemovedLinkIsFreed(t *testing.T) {
+	is := is.New(t)
+	r := newPeer(NewPool("a", &fakeGreeter{name: "a"}, nil, 1), "b")
+	l := &link{}
+	r.add(l)
+	is.True(r.remove(l))
+	is.True(!r.remove(l))
+	for _, o := range r.links[:cap(r.links)] {
+		is.True(o == nil)
+	}
+}
+
 // Guards against messages that exhaust memory: a length above the bound and a broken
 // stream must both end the connection with an error.
 func TestStreamBounds(t *testing.T) {
