blnode: first contacts by the platform's VM list; blrpc: keep connections that answer a call

Cause: after a long partition in which all VMs of the other side were replaced, no head knew anyone there to retry, because only lonely daemons read the VM list. Releasing a seed's connection after the first exchange also ended a fetch that ran on it, and a connection at the bound could be held back by its last use instead of by a running call.

--- a/basillift/blnode/fault_test.go
+++ b/basillift/blnode/fault_test.go
@@ -95,6 +95,20 @@
 	m.neverBack()
 }
 
+// Guards against a daemon without seeds that does not find the mesh by the platform's VM
+// list, and against readers that never meet VMs which only the list names.
+func TestFirstContactByList(t *testing.T) {
+	p := newFakePlatform()
+	m := newMesh(t, p)
+	first := m.add("a-0")
+	p.write(basillift.KeyVMs, fmt.Sprintf(
+		`[{"name":"a-0","address":%q,"service":"catalogue","domain":"a","region":"r","state":"live"}]`, first.address))
+	m.seeds = nil
+	m.add("b-0")
+	m.untilMembers(2)
+	m.until("version", func(_ string, n *Node) bool { return n.Ready() })
+}
+
 // Guards against a failure domain that stops converging when it cannot reach the platform.
 func TestCutOffFromPlatform(t *testing.T) {
 	p := newFakePlatform()
--- a/basillift/blnode/greet.go
+++ b/basillift/blnode/greet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"slices"
 	"time"
 
 	"basillift.dev/basillift"
@@ -22,6 +23,9 @@
 	// askLimit bounds the members that a starting daemon asks for their version beside its
 	// first contacts. Without it, 128 daemons that start together held 40 connections each.
 	askLimit = 8
+	// listInterval is the time between two reads of the VM list by a daemon that knows no
+	// other; it stays well within the readers' budget when 1,200 daemons start at once.
+	listInterval = 3 * time.Second
 	// listTimeout bounds the read of the VM list for first contacts.
 	listTimeout = time.Second
 )
@@ -30,7 +34,7 @@
 type greeting struct {
 	node   *Node
 	random *rand.Rand
-	listed []string
+	readAt time.Time
 	asked  map[basillift.VMID]bool
 }
 
@@ -60,7 +64,8 @@
 // round greets addresses of which no living member is known.
 func (g *greeting) round(ctx context.Context) {
 	known := g.addresses()
-	if len(known) <= 1 && len(g.listed) == 0 {
+	if len(known) <= 1 && time.Since(g.readAt) >= listInterval {
+		g.readAt = time.Now()
 		g.list(ctx)
 	}
 	contacts := g.choose(known)
@@ -84,7 +89,7 @@
 
 func (g *greeting) choose(known map[string]bool) []string {
 	var contacts []string
-	for _, address := range append(append([]string{}, g.node.seeds...), g.listed...) {
+	for _, address := range append(slices.Clone(g.node.seeds), *g.node.listed.Load()...) {
 		if !known[address] {
 			known[address] = true
 			contacts = append(contacts, address)
@@ -106,11 +111,20 @@
 	if err != nil {
 		return
 	}
+	g.node.setListed(list)
+}
+
+// setListed notes the addresses of the platform's VM list, which the greeting tries when no
+// living member has them: after a long partition both sides may consist of VMs that the
+// other never met.
+func (n *Node) setListed(list bllist.VMList) {
+	addresses := make([]string, 0, len(list))
 	for _, e := range list {
-		if basillift.VMID(e.Name) != g.node.Self().ID() {
-			g.listed = append(g.listed, e.Address)
+		if basillift.VMID(e.Name) != n.Self().ID() {
+			addresses = append(addresses, e.Address)
 		}
 	}
+	n.listed.Store(&addresses)
 }
 
 func (g *greeting) greet(ctx context.Context, address string) {
--- a/basillift/blnode/measure_test.go
+++ b/basillift/blnode/measure_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,7 +24,7 @@
 // arrivals notes when each daemon puts a version in force.
 type arrivals struct {
 	mutex   sync.Mutex
-	version basillift.Version
+	matches func(e basillift.Event) bool
 	since   time.Time
 	count   int
 	done    chan struct{}
@@ -38,12 +41,9 @@
 }
 
 func (a *arrivals) notify(e basillift.Event) {
-	if e.Kind() != basillift.EventVersionApplied {
-		return
-	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.version.IsZero() || a.version.NewerThan(e.Version()) {
+	if a.matches == nil || !a.matches(e) {
 		return
 	}
 	took := time.Since(a.since).Microseconds()
@@ -55,20 +55,36 @@
 	}
 }
 
-// change publishes a version and waits until all daemons hold it.
-func (a *arrivals) change(t *testing.T, publish func() basillift.Version) {
+// wait starts something and waits until all daemons recorded an event that matches.
+func (a *arrivals) wait(t *testing.T, begin func() func(e basillift.Event) bool) {
 	t.Helper()
 	a.mutex.Lock()
 	a.count, a.since = 0, time.Now()
-	a.version = publish()
+	a.matches = begin()
 	a.mutex.Unlock()
 	select {
 	case <-a.done:
 	case <-time.After(time.Minute):
-		t.Fatal("version did not reach all daemons")
+		t.Fatal("not all daemons recorded the event")
 	}
 }
 
+func (a *arrivals) change(t *testing.T, publish func() basillift.Version) {
+	t.Helper()
+	a.wait(t, func() func(e basillift.Event) bool {
+		v := publish()
+		return func(e basillift.Event) bool {
+			return e.Kind() == basillift.EventVersionApplied && !v.NewerThan(e.Version())
+		}
+	})
+}
+
+func (a *arrivals) String() string {
+	return fmt.Sprintf("each daemon p50 %.1f p99 %.1f worst %.1f; last daemon p50 %.1f p99 %.1f worst %.1f",
+		ms(a.each.ValueAtQuantile(50)), ms(a.each.ValueAtQuantile(99)), ms(a.each.Max()),
+		ms(a.last.ValueAtQuantile(50)), ms(a.last.ValueAtQuantile(99)), ms(a.last.Max()))
+}
+
 type byteCounts map[basillift.Purpose]uint64
 
 func (m *mesh) sent() byteCounts {
@@ -108,6 +124,50 @@
 	}
 }
 
+// TestMeasureTargets prints how long drains and deaths take to reach all daemons. It runs
+// only when BASILLIFT_MEASURE_TARGETS names the number of daemons.
+func TestMeasureTargets(t *testing.T) {
+	count, err := strconv.Atoi(os.Getenv("BASILLIFT_MEASURE_TARGETS"))
+	if err != nil {
+		t.Skip("set BASILLIFT_MEASURE_TARGETS to a number of daemons")
+	}
+	m := newMesh(t, newFakePlatform())
+	drains := newArrivals(count)
+	var current atomic.Pointer[arrivals]
+	current.Store(drains)
+	m.notify = func(e basillift.Event) { current.Load().notify(e) }
+	m.grow("abcd", count/4)
+	m.until("ready", func(_ string, n *Node) bool { return n.Ready() })
+	time.Sleep(5 * time.Second)
+	victims := slices.Sorted(maps.Keys(m.hosts))[:10]
+	for _, v := range victims {
+		drains.wait(t, func() func(e basillift.Event) bool {
+			m.hosts[v].node.SetState(basillift.TargetDraining)
+			return func(e basillift.Event) bool {
+				return e.Kind() == basillift.EventTargetState && e.Target() == basillift.VMID(v) && e.State() == basillift.TargetDraining
+			}
+		})
+	}
+	t.Logf("drain in ms: %s", drains)
+	for i, v := range victims {
+		deaths := newArrivals(count - i - 1)
+		deaths.each, deaths.last = drains.each, drains.last
+		if i == 0 {
+			deaths.each.Reset()
+			deaths.last.Reset()
+		}
+		current.Store(deaths)
+		deaths.wait(t, func() func(e basillift.Event) bool {
+			go m.hosts[v].cancel()
+			return func(e basillift.Event) bool {
+				return e.Kind() == basillift.EventMemberDied && e.Target() == basillift.VMID(v)
+			}
+		})
+		m.remove(v)
+	}
+	t.Logf("death of a process in ms: %s", drains)
+}
+
 func measure(t *testing.T, count int) {
 	const domains, customers, changes, rest = "abcd", 2000, 200, 10 * time.Second
 	runtime.GC()
@@ -146,9 +206,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	t.Logf("change: bytes sent per daemon %s in %.1f s", perDaemon(sent, m.sent(), float64(changes*count)), time.Since(begin).Seconds())
-	t.Logf("convergence in ms: each daemon p50 %.1f p99 %.1f worst %.1f; last daemon p50 %.1f p99 %.1f worst %.1f",
-		ms(a.each.ValueAtQuantile(50)), ms(a.each.ValueAtQuantile(99)), ms(a.each.Max()),
-		ms(a.last.ValueAtQuantile(50)), ms(a.last.ValueAtQuantile(99)), ms(a.last.Max()))
+	t.Logf("convergence in ms: %s", a)
 	m.neverBack()
 	reportDelta(t, m)
 }
--- a/basillift/blnode/node.go
+++ b/basillift/blnode/node.go
@@ -56,6 +56,7 @@
 	reading atomic.Bool
 	status  atomic.Pointer[Status]
 	matters atomic.Pointer[[]string]
+	listed  atomic.Pointer[[]string]
 
 	transfers limiter
 
@@ -120,6 +121,7 @@
 	n.state.Store(&state)
 	n.held.Store(&basillift.Version{})
 	n.matters.Store(&[]string{})
+	n.listed.Store(&[]string{})
 	n.pool = blrpc.NewPool(self.ID(), n, n.address, n.random.Int63())
 	n.register()
 	n.publish(now)
--- a/basillift/blnode/reader.go
+++ b/basillift/blnode/reader.go
@@ -227,6 +227,7 @@
 		})
 		return
 	}
+	w.reader.node.setListed(list)
 	listed := make([]blmember.Listed, 0, len(list))
 	for _, e := range list {
 		listed = append(listed, blmember.NewListed(basillift.VMID(e.Name), e.State == "leaving"))
--- a/basillift/blrpc/link.go
+++ b/basillift/blrpc/link.go
@@ -33,6 +33,7 @@
 	peer     atomic.Pointer[basillift.VMID]
 	dialled  bool
 	lastUsed atomic.Int64
+	calls    atomic.Int64
 	running  chan struct{}
 	// ready is closed once conn is set: jsonrpc2 reads before its constructor returns.
 	ready chan struct{}
@@ -189,6 +190,9 @@
 
 func (l *link) close() { _ = l.conn.Close() }
 
+// busy reports whether a call runs in either direction.
+func (l *link) busy() bool { return l.calls.Load() > 0 || len(l.running) > 0 }
+
 func (l *link) closed() bool {
 	select {
 	case <-l.conn.DisconnectNotify():
--- a/basillift/blrpc/peer.go
+++ b/basillift/blrpc/peer.go
@@ -216,12 +216,14 @@
 	return len(r.links) == 0
 }
 
-func (r *peer) closeAll() {
+func (r *peer) closeUnused() {
 	r.mutex.Lock()
 	links := slices.Clone(r.links)
 	r.mutex.Unlock()
 	for _, l := range links {
-		l.close()
+		if !l.busy() {
+			l.close()
+		}
 	}
 }
 
--- a/basillift/blrpc/pool.go
+++ b/basillift/blrpc/pool.go
@@ -24,9 +24,9 @@
 	// maxLinks bounds the connections of a daemon, each of which takes about 1 MB for its
 	// encoder and decoder. At the bound the one that is unused for longest makes room.
 	maxLinks = 96
-	// busyTime is how long a connection counts as busy after its last use, so that it does
-	// not make room while a call is running.
-	busyTime = callTimeout
+	// restTime is how long a connection without a running call is unused before it may make
+	// room, so that a notification that was just written still leaves the socket.
+	restTime = 200 * time.Millisecond
 	// sweepInterval is the time between two searches for idle connections.
 	sweepInterval = 5 * time.Second
 )
@@ -201,26 +201,26 @@
 	var oldest *link
 	for _, l := range links {
 		id := l.peer.Load()
-		if id != nil && kept != nil && (*kept)[*id] || l.closed() {
+		if id != nil && kept != nil && (*kept)[*id] || l.closed() || l.busy() {
 			continue
 		}
 		if oldest == nil || l.lastUsed.Load() < oldest.lastUsed.Load() {
 			oldest = l
 		}
 	}
-	if oldest == nil || now.Sub(time.Unix(0, oldest.lastUsed.Load())) < busyTime {
+	if oldest == nil || now.Sub(time.Unix(0, oldest.lastUsed.Load())) < restTime {
 		return false
 	}
 	oldest.close()
 	return true
 }
 
-// Release closes the connections to a peer that Keep does not name.
+// Release closes the connections to a peer that Keep does not name, unless a call runs on them.
 func (p *Pool) Release(id basillift.VMID) {
 	if kept := p.kept.Load(); kept != nil && (*kept)[id] {
 		return
 	}
-	p.peer(id).closeAll()
+	p.peer(id).closeUnused()
 }
 
 // Keep names the peers whose connections stay open while idle.
@@ -263,6 +263,8 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w", method, err)
 	}
+	l.calls.Add(1)
+	defer l.calls.Add(-1)
 	if err := l.conn.Call(ctx, method, params, result); err != nil {
 		return fmt.Errorf("call %s at %s: %w", method, to, err)
 	}
