--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -101,11 +101,6 @@
 	return b, nil
 }
 
-// interrupter returns a function that ends a read from the caller's connection.
-func interrupter(ctx *fasthttp.RequestCtx) func() {
-	return func() { _ = ctx.SetReadDeadline(time.Unix(1, 0)) }
-}
-
 func (f *failure) refusal() *refusal {
 	message := "The target gave no complete answer."
 	if f.outcome == basillift.OutcomeNotRun {
--- a/basillift/blproxy/connection.go
+++ b/basillift/blproxy/connection.go
@@ -76,9 +76,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	var b [1]byte
-	_, _, err := unix.Recvfrom(c.descriptor, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == unix.EAGAIN
+	ready := [1]unix.PollFd{{Fd: int32(c.descriptor), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, err := unix.Poll(ready[:], 0)
+	return n == 0 && err == nil
 }
 
 // begin prepares the connection for a call that must end by the deadline.
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -29,8 +29,7 @@
 	conn   *connection
 	sender *sender
 	body   *body
-	// interrupt stops a read from the caller's connection.
-	interrupt func()
+	ctx    *fasthttp.RequestCtx
 }
 
 // send sends the request and reads the response's header. A body of known size
@@ -157,7 +156,7 @@
 		return
 	default:
 	}
-	x.interrupt()
+	_ = x.ctx.SetReadDeadline(time.Unix(1, 0))
 	_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
 	<-x.sender.done
 }
--- a/basillift/blproxy/finish.go
+++ b/basillift/blproxy/finish.go
@@ -42,11 +42,8 @@
 // finishAnswered ends the call now, or at the end of a streamed response. A
 // response that carries an outcome is a refusal of the target or its daemon.
 func (p *Proxy) finishAnswered(ctx *fasthttp.RequestCtx, k *call, kind basillift.EventKind, side *sideCounters) {
-	status, outcome, reason := ctx.Response.StatusCode(), basillift.OutcomeDone, basillift.ReasonNone
-	refused := announced(&ctx.Response)
-	if refused != nil {
-		outcome, reason = refused.outcome, refused.reason
-	}
+	status := ctx.Response.StatusCode()
+	outcome, reason := outcomeOf(announced(&ctx.Response))
 	stream, ok := ctx.Response.BodyStream().(*relay)
 	if !ok {
 		p.end(k, kind, status, outcome, reason, side)
@@ -54,13 +51,21 @@
 	}
 	_ = ctx.SetWriteDeadline(k.deadline)
 	stream.onEnd(func(complete bool) {
-		if !complete {
-			kind, outcome, reason = basillift.EventCallCut, basillift.OutcomeUnknown, basillift.ReasonTruncated
+		if complete {
+			p.end(k, kind, status, outcome, reason, side)
+		} else {
+			p.end(k, basillift.EventCallCut, status, basillift.OutcomeUnknown, basillift.ReasonTruncated, side)
 		}
-		p.end(k, kind, status, outcome, reason, side)
 	})
 }
 
+func outcomeOf(f *failure) (basillift.Outcome, basillift.Reason) {
+	if f == nil {
+		return basillift.OutcomeDone, basillift.ReasonNone
+	}
+	return f.outcome, f.reason
+}
+
 func (p *Proxy) end(k *call, kind basillift.EventKind, status int, o basillift.Outcome, r basillift.Reason, side *sideCounters) {
 	side.count(o)
 	now := time.Now()
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -80,8 +80,9 @@
 	r.RedirectFixedPath = false
 	r.HandleMethodNotAllowed = false
 	r.HandleOPTIONS = false
-	r.ANY("/{service}", handle)
-	r.ANY("/{service}/{path:*}", handle)
+	// One route for all: two parameters cost the router 6 allocations for each call,
+	// and serviceOf has to look at the raw path anyway.
+	r.ANY("/{path:*}", handle)
 	r.NotFound = handle
 	return &fasthttp.Server{
 		Handler:                      r.Handler,
