blproxy: idempotency keys by claims at their owners

Cause: a reservation or payment that is sent again must not run twice.

Change: a call with Idempotency-Key is claimed at its owners over Peers (claim) before it is sent, with a fresh id, because a caller's own call id could make two requests share a grant. The end of the call is settled in the background once all owners have replied or timed out (1 s), so that no settle overtakes its claim. A starting daemon asks up to 3 peers for their roster (new message roster); if none has one it starts with the member list once that has not changed for 5 s. HandleClaim, HandleSettle and HandleRoster are for the wiring. A server whose Run was canceled before it had begun to serve kept its listener and never returned; the listeners are closed explicitly now.

--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -73,19 +73,28 @@
 	if r != nil {
 		return r
 	}
+	defer b.release()
+	if k.key == "" {
+		r = p.travel(ctx, k, b, c, now)
+	} else {
+		r = p.claimed(ctx, k, now, func() *refusal { return p.travel(ctx, k, b, c, time.Now()) })
+	}
+	if r == nil {
+		p.finishAnswered(ctx, k, basillift.EventCallAnswered, &p.metrics.caller)
+	}
+	return r
+}
+
+// travel sends the request to targets until one answers.
+func (p *Proxy) travel(ctx *fasthttp.RequestCtx, k *call, b *body, c basillift.Configuration, now time.Time) *refusal {
 	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
 	k.prepare(ctx, out)
 	out.Header.Set(HeaderDepth, strconv.Itoa(k.depth+1))
 	out.Header.Set(HeaderVersion, c.Version().String())
 	out.Header.Set(HeaderFrom, string(p.directory.Self().ID()))
 	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b}
-	r = t.run(now)
-	fasthttp.ReleaseRequest(out)
-	b.release()
-	if r == nil {
-		p.finishAnswered(ctx, k, basillift.EventCallAnswered, &p.metrics.caller)
-	}
-	return r
+	return t.run(now)
 }
 
 // takeBody reads the buffered part of the body within the deadline.
--- a/basillift/blproxy/fakes_test.go
+++ b/basillift/blproxy/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"net"
 	"slices"
 	"strings"
@@ -52,7 +53,7 @@
 	events   []basillift.Event
 	observed []basillift.Version
 	calls    func(to basillift.VMID, method string, params, result any) error
-	notified []string
+	notify   func(to basillift.VMID, method string, params any)
 }
 
 func (m *mesh) locked(f func()) {
@@ -98,8 +99,38 @@
 	return m.calls(to, method, params, result)
 }
 
-func (m *mesh) Notify(_ basillift.VMID, method string, _ any) {
-	m.locked(func() { m.notified = append(m.notified, method) })
+func (m *mesh) Notify(to basillift.VMID, method string, params any) {
+	if m.notify != nil {
+		m.notify(to, method, params)
+	}
+}
+
+// link lets daemons send control messages to each other, in the form that they have on the wire.
+func link(t testing.TB, daemons ...*daemon) {
+	send := func(to basillift.VMID, method string, params, result any) error {
+		for _, d := range daemons {
+			if d.mesh.Self().ID() != to {
+				continue
+			}
+			handlers := map[string]func(context.Context, basillift.VMID, json.RawMessage) (any, error){
+				methodClaim: d.HandleClaim, methodSettle: d.HandleSettle, methodRoster: d.HandleRoster,
+			}
+			raw, err := json.Marshal(params)
+			requireNoError(t, err)
+			answer, err := handlers[method](context.Background(), "", raw)
+			if err != nil || result == nil {
+				return err
+			}
+			raw, err = json.Marshal(answer)
+			requireNoError(t, err)
+			return json.Unmarshal(raw, result)
+		}
+		return basillift.ErrUnavailable
+	}
+	for _, d := range daemons {
+		d.mesh.calls = send
+		d.mesh.notify = func(to basillift.VMID, method string, params any) { _ = send(to, method, params, nil) }
+	}
 }
 
 // daemon is one proxy of a test with its fakes.
@@ -142,11 +173,10 @@
 
 // knows makes the other daemons' targets known to this one.
 func (d *daemon) knows(others ...*daemon) {
-	d.mesh.locked(func() {
-		for _, o := range others {
-			d.mesh.targets = append(d.mesh.targets, basillift.NewStatus(o.mesh.Self(), basillift.LivenessAlive, false))
-		}
-	})
+	for _, o := range others {
+		status := basillift.NewStatus(o.mesh.Self(), basillift.LivenessAlive, false)
+		d.mesh.locked(func() { d.mesh.targets = append(d.mesh.targets, status) })
+	}
 }
 
 // startPair starts the daemon of a caller and the daemon of a target.
--- /dev/null
+++ b/basillift/blproxy/keys_test.go
@@ -0,0 +1,123 @@
+package blproxy
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blledger"
+)
+
+const keyHeader = "Idempotency-Key: k1"
+
+// startOwners starts three daemons that own all keys; all calls run at the target of the first.
+func startOwners(t *testing.T, target string) []*daemon {
+	t.Helper()
+	var owners []*daemon
+	for _, id := range []basillift.VMID{"vm-a", "vm-b", "vm-c"} {
+		owners = append(owners, startDaemon(t, id, target, nil))
+	}
+	link(t, owners...)
+	for _, o := range owners {
+		o.knows(owners[0])
+		o.keeper.seed([]basillift.VMID{"vm-a", "vm-b", "vm-c"})
+	}
+	return owners
+}
+
+// settled waits until all owners have let go of the key or remember its end.
+func settled(t *testing.T, owners []*daemon) {
+	t.Helper()
+	key := blledger.NewKey("kobuleti", "catalogue", "k1")
+	for _, o := range owners {
+		eventually(t, func() bool {
+			kind := o.keeper.claim(time.Now(), key, "probe").Kind()
+			o.keeper.settle(time.Now(), key, "probe", blledger.NotRun())
+			return kind != blledger.GrantRunning
+		})
+	}
+}
+
+// TestKeys guards against a request with a key that runs twice, and against a
+// repetition that is refused although the first certainly did not run.
+func TestKeys(t *testing.T) {
+	cases := []struct {
+		name, reply          string
+		first, second        int
+		firstSays, secondSay string
+		runs                 int32
+	}{
+		{"answered", okAnswer, 200, 200, "", "", 1},
+		{"error answer", errorAnswer, 500, 500, "", "", 1},
+		{"no answer", "", 502, 409, "unknown", "unknown", 1},
+		{"unclear", unclearAnswer, 503, 409, "unknown", "unknown", 1},
+		{"not run", notRunAnswer, 503, 503, "not-run", "not-run", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int32
+			owners := startOwners(t, scripted(t, &runs, c.reply))
+			// An idempotent method must not be repeated either: the key counts.
+			first := owners[0].ask(t, "PUT", "/catalogue/1", "goat", keyHeader)
+			settled(t, owners)
+			second := owners[1].ask(t, "PUT", "/catalogue/1", "goat", keyHeader)
+			is.New(t).Equal(first.StatusCode(), c.first)
+			is.New(t).Equal(string(first.Header.Peek(HeaderOutcome)), c.firstSays)
+			is.New(t).Equal(second.StatusCode(), c.second)
+			is.New(t).Equal(string(second.Header.Peek(HeaderOutcome)), c.secondSay)
+			is.New(t).Equal(runs.Load(), c.runs)
+			if c.second == c.first && c.firstSays == "" {
+				is.New(t).Equal(string(second.Body()), string(first.Body()))
+			}
+		})
+	}
+}
+
+// TestKeyStillRunning guards against a repetition that runs beside the first request.
+func TestKeyStillRunning(t *testing.T) {
+	arrived, leave := make(chan struct{}), make(chan struct{})
+	owners := startOwners(t, startTarget(t, func(*fasthttp.RequestCtx) {
+		close(arrived) // a second run would panic here
+		<-leave
+	}))
+	_, r := dialCaller(t, owners[0], "POST /catalogue/1"+start+keyHeader+"\r\nContent-Length: 0\r\n\r\n")
+	<-arrived
+	second := owners[1].ask(t, "POST", "/catalogue/1", "", keyHeader)
+	assertRefused(t, second, 409, basillift.OutcomeNotRun, basillift.ReasonDuplicate)
+	close(leave)
+	assertAnswer(t, readResponse(t, r), 200, "")
+}
+
+// TestKeyOwners guards against a run without a quorum of owners, and a refusal with one.
+func TestKeyOwners(t *testing.T) {
+	t.Run("one of three is gone", func(t *testing.T) {
+		owners := startOwners(t, startTarget(t, echo))
+		link(t, owners[0], owners[1])
+		assertAnswer(t, owners[0].ask(t, "POST", "/catalogue/1", "", keyHeader), 200, "POST /catalogue/1 ")
+	})
+	t.Run("two of three are gone", func(t *testing.T) {
+		owners := startOwners(t, startTarget(t, echo))
+		link(t, owners[0])
+		r := owners[0].ask(t, "POST", "/catalogue/1", "", keyHeader)
+		assertRefused(t, r, 409, basillift.OutcomeUnknown, basillift.ReasonKeyUnknown)
+	})
+	t.Run("no roster yet", func(t *testing.T) {
+		caller, _ := startPair(t, startTarget(t, echo), nil)
+		r := caller.ask(t, "POST", "/catalogue/1", "", keyHeader)
+		assertRefused(t, r, 409, basillift.OutcomeUnknown, basillift.ReasonKeyUnknown)
+	})
+}
+
+// TestRoster guards against a daemon that starts with another list of owners than its peers have.
+func TestRoster(t *testing.T) {
+	owners := startOwners(t, "127.0.0.1:1")
+	late := startDaemon(t, "vm-d", "127.0.0.1:1", nil)
+	late.knows(owners...)
+	link(t, append(owners, late)...)
+	late.askRoster(t.Context())
+	is.New(t).Equal(late.keeper.snapshot(), []basillift.VMID{"vm-a", "vm-b", "vm-c"})
+}
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -32,6 +32,7 @@
 	pools    *pools
 	routes   *routes
 	gate     *gate
+	keeper   *keeper
 	metrics  *counters
 	watcher  *watcher
 	caller   *fasthttp.Server
@@ -39,6 +40,9 @@
 	onCaller net.Listener
 	onMesh   net.Listener
 
+	// background runs what outlasts a call; Run waits for it.
+	background sync.WaitGroup
+
 	draining atomic.Bool
 	inFlight atomic.Int64
 	lastCall atomic.Uint64
@@ -65,7 +69,8 @@
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
 		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
-		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
+		keeper: newKeeper(directory.Self()),
+		gate:   newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
 	p.metrics = newCounters(p)
 	p.caller = p.server(p.serveCaller, p.expectCaller)
@@ -153,13 +158,14 @@
 	cancel()
 	err = errors.Join(err, p.stop())
 	group.Wait()
+	p.background.Wait()
 	if err != nil {
 		return fmt.Errorf("serve calls: %w", err)
 	}
 	return nil
 }
 
-// loop closes connections that were idle for too long.
+// loop does what is due each second: it closes old connections and observes the owners of keys.
 func (p *Proxy) loop(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -169,16 +175,28 @@
 			return
 		case now := <-ticker.C:
 			p.pools.sweep(now)
+			p.observeRoster(ctx, now)
 		}
 	}
 }
 
+// observeRoster keeps the list of key owners current. A daemon without one asks its peers first.
+func (p *Proxy) observeRoster(ctx context.Context, now time.Time) {
+	if p.keeper.snapshot() == nil {
+		p.askRoster(ctx)
+	}
+	p.keeper.observe(now, p.directory)
+}
+
 // stop closes everything; calls in flight are canceled first.
 func (p *Proxy) stop() error {
 	for _, k := range p.watcher.calls() {
 		k.cancel()
 	}
 	err := errors.Join(p.caller.Shutdown(), p.mesh.Shutdown())
+	// A server that was not serving yet does not know its listener and would serve on.
+	_ = p.onCaller.Close()
+	_ = p.onMesh.Close()
 	p.pools.close()
 	return errors.Join(err, p.watcher.close())
 }
