--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -82,6 +82,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
+	n.Handle(blproxy.MethodClaim, proxy.HandleClaim)
+	n.Handle(blproxy.MethodSettle, proxy.HandleSettle)
+	n.Handle(blproxy.MethodRoster, proxy.HandleRoster)
 	return proxy, nil
 }
 
