demo: wait until daemons grant idempotency keys

Cause: keyed calls are refused as unknown within 30 s after a daemon's start, by design; the demo counted these refusals as interrupted by its faults. Change: the demo waits 32 s after the daemons are ready.

--- a/basilliftlab/labdemo/demo.go
+++ b/basilliftlab/labdemo/demo.go
@@ -131,6 +131,7 @@
 	for _, s := range []step{
 		{"start platform and targets", d.startStandIns},
 		{"start daemons", d.startDaemons},
+		{"wait until keys are granted", d.awaitKeys},
 		{"send calls", d.startLoad},
 		{"edit lists", d.editEarly},
 		{"drain a target", d.drain},
--- a/basilliftlab/labdemo/options.go
+++ b/basilliftlab/labdemo/options.go
@@ -56,6 +56,10 @@
 const (
 	// readyTime bounds the start of all processes on a busy machine.
 	readyTime = 60 * time.Second
+	// keyTime is above the 30 s after its start in which a daemon grants no
+	// idempotency key, because it cannot know what it has forgotten. Keyed calls
+	// are refused as unknown until then, which would hide what the faults do to them.
+	keyTime = 32 * time.Second
 	// editTime is how long the demo waits for an edit before it goes on.
 	editTime = 10 * time.Second
 	// settleTime gives callers time to see the effect of an edit.
--- a/basilliftlab/labdemo/start.go
+++ b/basilliftlab/labdemo/start.go
@@ -92,6 +92,9 @@
 	return nil
 }
 
+// awaitKeys waits until daemons grant idempotency keys.
+func (d *Demo) awaitKeys(ctx context.Context) error { return sleep(ctx, keyTime) }
+
 func (d *Demo) startLoad(ctx context.Context) error {
 	var addresses []string
 	for _, v := range d.mesh.VMs() {
