--- /dev/null
+++ b/basillift/bladmit/limiter.go
@@ -0,0 +1,201 @@
+package bladmit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// Permit says whether the customer's plan lets a call start at this daemon.
+type Permit string
+
+// The permits. PermitAsk means that this daemon's share is used up but the
+// customer's may not be: the owner may send the daemon's Demand at once and try
+// again, or refuse the call as it does for the other two.
+const (
+	PermitAllowed     Permit = "allowed"
+	PermitRate        Permit = "rate"
+	PermitConcurrency Permit = "concurrency"
+	PermitAsk         Permit = "ask"
+)
+
+// Reason is the reason of a refusal.
+func (p Permit) Reason() basillift.Reason {
+	switch p {
+	case PermitAllowed:
+		return basillift.ReasonNone
+	case PermitConcurrency:
+		return basillift.ReasonConcurrency
+	default:
+		return basillift.ReasonRate
+	}
+}
+
+// Limiter keeps the calls that one daemon accepts within its share of each
+// customer's limits. A call counts where it enters the mesh (depth 0). It is not
+// safe for concurrent use.
+//
+// Error of the mesh-wide limit: the sum of all shares never exceeds the limit. A
+// daemon's bucket holds 100 ms of its share and at least one call, so that in any
+// period the calls exceed rate × period by at most rate × 100 ms plus one for each daemon
+// in use. A customer whose callers are all in one of n failure domains gets 1/n of its
+// limit. In a partition nothing changes between failure domains, since each has a
+// fixed part; a daemon that can't reach its owner falls back to a tenth of an
+// equal share when its lease ends.
+type Limiter struct {
+	topology  Topology
+	customers map[string]*usage
+}
+
+// usage is one customer's use of this daemon.
+type usage struct {
+	plan     basillift.Plan
+	tokens   float64
+	refilled time.Time
+	share    Share
+	until    time.Time
+	running  int
+	peak     int // most calls wanted at once in this interval
+	calls    int // calls in this interval, refused ones included
+	reported time.Time
+}
+
+// NewLimiter returns a limiter for a mesh of one daemon; see SetTopology.
+func NewLimiter() *Limiter {
+	return &Limiter{topology: NewTopology(1, 1, 1), customers: make(map[string]*usage)}
+}
+
+// SetTopology tells the limiter how limits are divided.
+func (l *Limiter) SetTopology(t Topology) { l.topology = t }
+
+// Allow takes a call of a customer. Finished must follow for each allowed call.
+func (l *Limiter) Allow(now time.Time, customer string, p basillift.Plan) Permit {
+	u := l.usage(now, customer, p)
+	s := l.refill(now, u)
+	u.calls++
+	u.peak = max(u.peak, u.running+1)
+	if p.Concurrency() > 0 && float64(u.running+1) > s.concurrency {
+		return u.refusal(now, PermitConcurrency)
+	}
+	if p.Rate() > 0 && u.tokens < 1 {
+		return u.refusal(now, PermitRate)
+	}
+	u.tokens--
+	u.running++
+	return PermitAllowed
+}
+
+// refusal is PermitAsk while the daemon has no share of its own: the floor of a
+// customer that seldom calls here may be less than one call.
+func (u *usage) refusal(now time.Time, p Permit) Permit {
+	if now.After(u.until) {
+		return PermitAsk
+	}
+	return p
+}
+
+// Finished notes the end of an allowed call.
+func (l *Limiter) Finished(_ time.Time, customer string) {
+	if u := l.customers[customer]; u != nil {
+		u.running = max(0, u.running-1)
+	}
+}
+
+// Demand returns what to report for one customer, for PermitAsk.
+func (l *Limiter) Demand(now time.Time, customer string) Demand {
+	u := l.customers[customer]
+	if u == nil {
+		return Demand{customer: customer}
+	}
+	elapsed := max(ReportInterval, now.Sub(u.reported)).Seconds()
+	return Demand{
+		customer: customer, rate: float64(u.calls) / elapsed,
+		concurrency: max(u.peak, u.running), running: u.running,
+	}
+}
+
+// Demands returns what to report each ReportInterval: the customers that are above
+// the floor. It starts the next interval.
+func (l *Limiter) Demands(now time.Time) []Demand {
+	var demands []Demand
+	for name, u := range l.customers {
+		d := l.Demand(now, name)
+		floor := l.topology.floor(u.plan)
+		if u.plan.Rate() > 0 && d.rate > floor.rate || u.plan.Concurrency() > 0 && float64(d.concurrency) > floor.concurrency {
+			demands = append(demands, d)
+		}
+		u.calls, u.peak, u.reported = 0, u.running, now
+		if d.rate == 0 && u.running == 0 && now.After(u.until) && now.Sub(u.refilled) > time.Minute {
+			delete(l.customers, name)
+		}
+	}
+	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.customer, b.customer) })
+	return demands
+}
+
+// Granted takes the owner's answer to a demand that was sent at the given time. The
+// lease counts from then, so that it ends here before it does at the owner.
+func (l *Limiter) Granted(now, sent time.Time, customer string, s Share) {
+	u := l.customers[customer]
+	if u == nil {
+		return
+	}
+	l.refill(now, u)
+	fresh := u.until.IsZero()
+	u.share, u.until = s, sent.Add(lease)
+	if fresh && s.rate >= 1 {
+		// The first grant covers the call that asked for it.
+		u.tokens = max(u.tokens, 1)
+	}
+}
+
+// usage returns the customer's record. A change of plan ends the lease.
+func (l *Limiter) usage(now time.Time, customer string, p basillift.Plan) *usage {
+	u := l.customers[customer]
+	if u == nil {
+		u = &usage{plan: p, refilled: now, reported: now}
+		u.tokens = capacity(l.topology.floor(p).rate)
+		if l.topology.floor(p).rate < 1 {
+			u.tokens = 0
+		}
+		l.customers[customer] = u
+	}
+	if u.plan.Rate() != p.Rate() || u.plan.Concurrency() != p.Concurrency() {
+		u.until = time.Time{}
+	}
+	u.plan = p
+	return u
+}
+
+// refill adds the tokens since the last call and returns the share in force. A
+// lease that ended in between counts up to its end.
+func (l *Limiter) refill(now time.Time, u *usage) Share {
+	s := l.topology.floor(u.plan)
+	if u.until.After(u.refilled) {
+		end := u.until
+		if end.After(now) {
+			end = now
+		}
+		u.add(end, u.share.rate)
+	}
+	if now.Before(u.until) {
+		return u.share
+	}
+	u.add(now, s.rate)
+	return s
+}
+
+func (u *usage) add(until time.Time, rate float64) {
+	elapsed := until.Sub(u.refilled).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	u.tokens = min(capacity(rate), u.tokens+elapsed*rate)
+	u.refilled = until
+}
+
+// capacity is the most tokens of a bucket: 100 ms of its rate, and at least one call.
+func capacity(rate float64) float64 { return math.Max(1, rate*ReportInterval.Seconds()) }
