--- a/basillift/bladmit/queue.go
+++ b/basillift/bladmit/queue.go
@@ -205,10 +205,12 @@
 }
 
 func (q *Queue) entry(r Request, f *flow, now time.Time) *entry {
-	e := &entry{}
-	if last := len(q.free) - 1; last >= 0 {
-		e, q.free = q.free[last], q.free[:last]
+	last := len(q.free) - 1
+	if last < 0 {
+		return &entry{request: r, flow: f, arrived: now}
 	}
+	e := q.free[last]
+	q.free = q.free[:last]
 	*e = entry{request: r, flow: f, arrived: now}
 	return e
 }
--- a/basillift/bladmit/quota.go
+++ b/basillift/bladmit/quota.go
@@ -87,9 +87,20 @@
 	return Share{rate: floorShare * s.rate / n, concurrency: math.Floor(floorShare * s.concurrency / n)}
 }
 
-// split reports whether less than a majority of the failure domain's daemons is
-// reachable. The other part may then have an owner of its own.
-func (t Topology) split() bool { return 2*t.alive <= t.daemons }
+// reach returns the daemons of the failure domain that the owner divides the limit
+// among, and the part of the limit that it may divide. A majority has all of it and
+// keeps back the floors of the others. With exactly half of the daemons no other
+// group is a majority, and the owner has half. With fewer, another group may have all.
+func (t Topology) reach() (daemons int, part float64) {
+	switch {
+	case 2*t.alive > t.daemons:
+		return t.daemons, 1
+	case 2*t.alive == t.daemons:
+		return t.alive, 0.5
+	default:
+		return t.alive, 0
+	}
+}
 
 // QuotaOwner returns the daemon that divides a customer's limits within a failure
 // domain, out of its alive daemons.
@@ -131,14 +142,15 @@
 	v.expire(now)
 	floor := t.floor(p)
 	v.leases[from] = leased{demand: d, share: v.leases[from].share, until: now.Add(lease)}
-	if t.split() || now.Sub(v.since) < lease {
+	daemons, part := t.reach()
+	if part == 0 || now.Sub(v.since) < lease {
 		return v.store(from, floor)
 	}
 	whole := t.domain(p)
-	idle := float64(max(0, t.daemons-len(v.leases)))
-	rate := v.part(from, whole.rate-idle*floor.rate, floor.rate,
+	idle := float64(max(0, daemons-len(v.leases)))
+	rate := v.part(from, part*whole.rate-idle*floor.rate, floor.rate,
 		func(d Demand) float64 { return d.rate }, func(l leased) float64 { return l.share.rate })
-	concurrency := v.part(from, whole.concurrency-idle*floor.concurrency, floor.concurrency,
+	concurrency := v.part(from, part*whole.concurrency-idle*floor.concurrency, floor.concurrency,
 		func(d Demand) float64 { return float64(d.concurrency) },
 		func(l leased) float64 { return max(l.share.concurrency, float64(l.demand.running)) })
 	return v.store(from, Share{rate: rate, concurrency: math.Floor(concurrency)})
--- a/basillift/blroute/chooser.go
+++ b/basillift/blroute/chooser.go
@@ -22,7 +22,7 @@
 	salt     uint64
 	targets  map[basillift.VMID]*target
 	subsets  map[string]*subset
-	scratch  []candidate
+	scratch  []*candidate
 	mean     float64
 }
 
@@ -93,7 +93,7 @@
 // usable lists the candidates that neither are excluded nor look bad. Targets
 // that look bad are used when more than half do (ejected) or all do (dead): then
 // it is more likely that the observation is wrong than that all targets are.
-func (c *Chooser) usable(now time.Time, targets []basillift.Status, exclude []basillift.VMID) []candidate {
+func (c *Chooser) usable(now time.Time, targets []basillift.Status, exclude []basillift.VMID) []*candidate {
 	all := c.subset(now, targets)
 	dead, ejected := 0, 0
 	for i := range all {
@@ -107,7 +107,8 @@
 	useDead := dead == len(all)
 	useEjected := 2*ejected > len(all)-dead
 	c.scratch = c.scratch[:0]
-	for _, cd := range all {
+	for i := range all {
+		cd := &all[i]
 		bad := cd.dead && !useDead || cd.target.ejected(now) && !useEjected
 		if !bad && !contains(exclude, cd.member.ID()) {
 			c.scratch = append(c.scratch, cd)
@@ -118,10 +119,10 @@
 
 // group keeps the candidates of the nearest group that has one below the spill
 // limit. When all are full, all stay: the target's own queue decides then.
-func (c *Chooser) group(now time.Time, usable []candidate) []candidate {
+func (c *Chooser) group(now time.Time, usable []*candidate) []*candidate {
 	nearest := groups
 	for _, cd := range usable {
-		if cd.group < nearest && !cd.target.full(now, cd.member, c.settings.spill) {
+		if cd.group < nearest && !cd.target.full(now, cd.member.Slots(), c.settings.spill) {
 			nearest = cd.group
 		}
 	}
@@ -130,7 +131,7 @@
 	}
 	kept := usable[:0]
 	for _, cd := range usable {
-		if cd.group == nearest && !cd.target.full(now, cd.member, c.settings.spill) {
+		if cd.group == nearest && !cd.target.full(now, cd.member.Slots(), c.settings.spill) {
 			kept = append(kept, cd)
 		}
 	}
@@ -138,7 +139,7 @@
 }
 
 // twoChoices compares two random candidates and returns the less loaded one.
-func (c *Chooser) twoChoices(now time.Time, from []candidate) basillift.Member {
+func (c *Chooser) twoChoices(now time.Time, from []*candidate) basillift.Member {
 	if len(from) == 1 {
 		return from[0].member
 	}
@@ -154,7 +155,7 @@
 }
 
 // load is the expected wait at a target, in seconds.
-func (c *Chooser) load(now time.Time, cd candidate) float64 {
+func (c *Chooser) load(now time.Time, cd *candidate) float64 {
 	t := cd.target
 	t.advance(now)
 	load := float64(t.inFlight+1) * t.latency(c.mean) / t.ramp(now, c.settings.slowStart)
--- a/basillift/blroute/explain.go
+++ b/basillift/blroute/explain.go
@@ -32,9 +32,9 @@
 	}
 	why := fmt.Sprintf("version %s: plan %s allows %s, class %s", g.Version(), plan.Name(), service, plan.Class())
 	steps := []Step{{customer, "allowed", why}}
-	all := c.subset(now, targets)
-	usable := append([]candidate(nil), c.usable(now, targets, nil)...)
-	final := c.group(now, append([]candidate(nil), usable...))
+	all := pointers(c.subset(now, targets))
+	usable := append([]*candidate(nil), c.usable(now, targets, nil)...)
+	final := c.group(now, append([]*candidate(nil), usable...))
 	for _, s := range targets {
 		steps = append(steps, c.explain(now, s, all, usable, final))
 	}
@@ -45,7 +45,7 @@
 }
 
 // explain says what became of one target.
-func (c *Chooser) explain(now time.Time, s basillift.Status, all, usable, final []candidate) Step {
+func (c *Chooser) explain(now time.Time, s basillift.Status, all, usable, final []*candidate) Step {
 	id := string(s.Member().ID())
 	m := s.Member()
 	switch {
@@ -62,7 +62,7 @@
 	switch {
 	case !holds(usable, m.ID()):
 		return Step{id, "skipped", "ejected for another " + t.ejectedUntil.Sub(now).Round(time.Millisecond).String()}
-	case !holds(final, m.ID()) && t.full(now, m, c.settings.spill):
+	case !holds(final, m.ID()) && t.full(now, m.Slots(), c.settings.spill):
 		return Step{id, "skipped", fmt.Sprintf("full: %d of %d slots used by this daemon, or refused a call just now", t.inFlight, m.Slots())}
 	case !holds(final, m.ID()):
 		return Step{id, "skipped", "a nearer failure domain has room"}
@@ -82,7 +82,15 @@
 	return text
 }
 
-func holds(candidates []candidate, id basillift.VMID) bool {
+func pointers(candidates []candidate) []*candidate {
+	all := make([]*candidate, len(candidates))
+	for i := range candidates {
+		all[i] = &candidates[i]
+	}
+	return all
+}
+
+func holds(candidates []*candidate, id basillift.VMID) bool {
 	for _, cd := range candidates {
 		if cd.member.ID() == id {
 			return true
--- a/basillift/blroute/target.go
+++ b/basillift/blroute/target.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"basillift.dev/basillift"
 )
 
 const (
@@ -77,11 +75,11 @@
 func (t *target) ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
 
 // full reports whether the target is above the given use of its slots or just refused a call.
-func (t *target) full(now time.Time, m basillift.Member, spill float64) bool {
+func (t *target) full(now time.Time, slots int, spill float64) bool {
 	if now.Before(t.fullUntil) {
 		return true
 	}
-	return m.Slots() > 0 && float64(t.inFlight) >= spill*float64(m.Slots())
+	return slots > 0 && float64(t.inFlight) >= spill*float64(slots)
 }
 
 // fail counts a failure and ejects the target when the evidence suffices. A
