bladmit: forget customers that called once

A flow was dropped only when the class's virtual time passed its tag. A class without competition never advances, so customers that called once stayed in memory. Debts are now settled while nobody waits.

TestForgetsCustomers fails without the change and passes with it.

--- a/basillift/bladmit/flow.go
+++ b/basillift/bladmit/flow.go
@@ -100,8 +100,14 @@
 	return longest
 }
 
-// forget drops flows that hold nothing and have no debt.
+// forget drops flows that hold nothing and have no debt. While nobody waits, all
+// debts are settled: without this, customers that call once would stay for good.
 func (c *class) forget() {
+	if c.waiting == 0 {
+		for _, f := range c.flows {
+			c.virtual = max(c.virtual, f.tag)
+		}
+	}
 	for name, f := range c.flows {
 		if f.idle() && f.tag <= c.virtual {
 			delete(c.flows, name)
--- a/basillift/bladmit/queue_test.go
+++ b/basillift/bladmit/queue_test.go
@@ -1,6 +1,7 @@
 package bladmit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -129,3 +130,15 @@
 	assertActions(t, q.Finish(epoch, 1))
 	is.Equal(q.Running(), 0)
 }
+
+// Guards against memory that grows with each customer that ever called.
+func TestForgetsCustomers(t *testing.T) {
+	q := NewQueue(NewSettings(1, 10, 10))
+	for id := range uint64(10 * forgetEvery) {
+		now := epoch.Add(time.Duration(id) * time.Millisecond)
+		q.Arrive(now, NewRequest(id, fmt.Sprint(id), basillift.ClassNormal, now.Add(time.Second)))
+		q.Finish(now.Add(time.Millisecond), id)
+	}
+	is.New(t).True(len(q.classes[1].flows) <= forgetEvery)
+	is.New(t).Equal(len(q.entries), 0)
+}
