blproxy: find crashing requests and keep them away from targets

Cause: a request that crashes each target which runs it, and is sent again, must not take down more than 3 targets.

Change: each request at the target has a fingerprint. When a connection breaks under a call, the daemon connects to the target; refused connects mean a crash, which blquarantine puts down to the requests in flight. Suspicions go to all members by Peers (suspicion). The mesh side runs a suspect only alone, the caller side waits until suspicions have spread before it sends a request again that just broke a target, and refuses a quarantined one as not run. Calls whose upload was cut or whose caller hung up start no probe.

--- a/basillift/blproxy/call.go
+++ b/basillift/blproxy/call.go
@@ -28,6 +28,10 @@
 	space    [2]*connection
 	done     chan struct{}
 	slot     uint64
+	// guarded is set while the guard counts the call as in flight at the target,
+	// and answered once the target has answered it.
+	guarded  bool
+	answered bool
 }
 
 // cancel closes the connections that the call holds; later ones are refused.
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -22,6 +22,12 @@
 	err     error
 }
 
+// broke reports whether the connection broke while the target had the request.
+func (f *failure) broke() bool {
+	return f != nil && f.outcome == basillift.OutcomeUnknown &&
+		(f.reason == basillift.ReasonTarget || f.reason == basillift.ReasonTruncated)
+}
+
 // exchange is one request sent over one connection, and its response.
 type exchange struct {
 	call   *call
@@ -221,6 +227,7 @@
 	source   *fasthttp.Response
 	reusable bool
 	complete bool
+	broken   bool
 	ends     []func(complete bool)
 }
 
@@ -238,6 +245,7 @@
 		r.complete = true
 		return n, io.EOF
 	}
+	r.broken = true
 	r.exchange.call.conn.abort()
 	return n, fmt.Errorf("read response body: %w", err)
 }
--- a/basillift/blproxy/fakes_test.go
+++ b/basillift/blproxy/fakes_test.go
@@ -114,6 +114,7 @@
 			}
 			handlers := map[string]func(context.Context, basillift.VMID, json.RawMessage) (any, error){
 				methodClaim: d.HandleClaim, methodSettle: d.HandleSettle, methodRoster: d.HandleRoster,
+				methodSuspicion: d.HandleSuspicion,
 			}
 			raw, err := json.Marshal(params)
 			requireNoError(t, err)
--- a/basillift/blproxy/finish.go
+++ b/basillift/blproxy/finish.go
@@ -18,6 +18,9 @@
 
 // leave counts a call that ended, frees its slot and unties it from the connection.
 func (p *Proxy) leave(k *call) {
+	if k.guarded {
+		p.spread(p.guard.leave(time.Now(), k, k.answered))
+	}
 	if k.slot != 0 {
 		p.gate.leave(time.Now(), k.slot)
 	}
@@ -53,9 +56,13 @@
 	stream.onEnd(func(complete bool) {
 		if complete {
 			p.end(k, kind, status, outcome, reason, side)
-		} else {
-			p.end(k, basillift.EventCallCut, status, basillift.OutcomeUnknown, basillift.ReasonTruncated, side)
+			return
+		}
+		k.answered = false
+		if stream.broken && side == &p.metrics.mesh && !k.isCanceled() {
+			p.suspectCrash()
 		}
+		p.end(k, basillift.EventCallCut, status, basillift.OutcomeUnknown, basillift.ReasonTruncated, side)
 	})
 }
 
--- a/basillift/blproxy/mesh.go
+++ b/basillift/blproxy/mesh.go
@@ -97,6 +97,11 @@
 		return r
 	}
 	k.slot = slot
+	r = p.guard.enter(time.Now(), k, fingerprintOf(ctx, k, b))
+	if r != nil {
+		return r
+	}
+	k.guarded = true
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	k.prepare(ctx, out)
@@ -120,9 +125,13 @@
 	x := &exchange{call: k, pool: p.pools.of(p.settings.targetAddress), body: b, ctx: ctx}
 	failed := x.send(now, out, &ctx.Response, p.settings.bufferSize)
 	p.tellObserver(now, k, b, failed)
+	if failed.broke() && b.failed == nil && !k.isCanceled() {
+		p.suspectCrash()
+	}
 	if failed != nil {
 		return failed.refusal()
 	}
+	k.answered = true
 	sanitize(&ctx.Response)
 	return nil
 }
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -33,6 +33,7 @@
 	routes   *routes
 	gate     *gate
 	keeper   *keeper
+	guard    *guard
 	metrics  *counters
 	watcher  *watcher
 	caller   *fasthttp.Server
@@ -69,8 +70,8 @@
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
 		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
-		keeper: newKeeper(directory.Self()),
-		gate:   newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
+		keeper: newKeeper(directory.Self()), guard: newGuard(),
+		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
 	p.metrics = newCounters(p)
 	p.caller = p.server(p.serveCaller, p.expectCaller)
--- a/basillift/blproxy/trip.go
+++ b/basillift/blproxy/trip.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blquarantine"
 	"basillift.dev/basillift/blretry"
 	"basillift.dev/basillift/blroute"
 )
@@ -33,6 +34,10 @@
 		return refuse(basillift.OutcomeNotRun, reason, "No target accepts calls.")
 	}
 	for number := 0; ; number++ {
+		if !t.admitted(now) {
+			t.proxy.routes.finished(now, t.member.ID(), blroute.ResultOK)
+			return quarantined()
+		}
 		failed, answered := t.attempt(now)
 		if failed == nil {
 			return nil
@@ -50,6 +55,21 @@
 	}
 }
 
+// admitted waits until suspicions have spread if the request just broke a target,
+// and reports whether it may run.
+func (t *trip) admitted(now time.Time) bool {
+	g := t.proxy.guard
+	if !g.active.Load() {
+		return true
+	}
+	fp := fingerprintOf(t.ctx, t.call, t.body)
+	verdict, hold := g.check(now, fp)
+	if hold > 0 && verdict != blquarantine.VerdictQuarantined && t.call.wait(hold) {
+		verdict, _ = g.check(time.Now(), fp)
+	}
+	return verdict != blquarantine.VerdictQuarantined
+}
+
 func (t *trip) choose(now time.Time) basillift.Reason {
 	if t.count == mostTries {
 		return basillift.ReasonNoTarget
@@ -80,6 +100,9 @@
 		failed = announced(&t.ctx.Response)
 		answered = failed != nil
 	}
+	if failed.broke() && t.body.failed == nil {
+		p.guard.broken(time.Now(), fingerprintOf(t.ctx, k, t.body))
+	}
 	t.finish(failed)
 	return failed, answered
 }
