--- a/basillift/blproxy/fakes_test.go
+++ b/basillift/blproxy/fakes_test.go
@@ -114,6 +114,7 @@
 			}
 			handlers := map[string]func(context.Context, basillift.VMID, json.RawMessage) (any, error){
 				MethodClaim: d.HandleClaim, MethodSettle: d.HandleSettle, MethodRoster: d.HandleRoster,
+				MethodSuspicion: d.HandleSuspicion,
 			}
 			raw, err := json.Marshal(params)
 			requireNoError(t, err)
--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -85,6 +85,7 @@
 	n.Handle(blproxy.MethodClaim, proxy.HandleClaim)
 	n.Handle(blproxy.MethodSettle, proxy.HandleSettle)
 	n.Handle(blproxy.MethodRoster, proxy.HandleRoster)
+	n.Handle(blproxy.MethodSuspicion, proxy.HandleSuspicion)
 	return proxy, nil
 }
 
