Explain, quarantine notices, lag; demo tells ownerless keys from interrupted calls

Cause: explain had no answer and notices did not see quarantined requests or lag. The demo charged SIGTERM with keyed calls that were refused for want of owners.

--- a/basillift/blnotice/detect.go
+++ b/basillift/blnotice/detect.go
@@ -25,9 +25,24 @@
 	PlatformOK          PlatformState = "ok"
 	PlatformUnreachable PlatformState = "unreachable"
 	PlatformStale       PlatformState = "stale"
+	PlatformBudget      PlatformState = "budget"
+	PlatformMissing     PlatformState = "missing"
 	PlatformBack        PlatformState = "back"
 )
 
+func (s PlatformState) text() string {
+	switch s {
+	case PlatformStale:
+		return "the platform has answered with older revisions than before"
+	case PlatformBudget:
+		return "the platform has refused reads because its read budget is used up"
+	case PlatformMissing:
+		return "the platform has had no value for one of the lists"
+	default:
+		return "the platform has not answered"
+	}
+}
+
 // View is what a daemon knows when it looks for conditions.
 type View struct {
 	self        basillift.VMID
@@ -101,7 +116,7 @@
 	case v.platform == PlatformBack:
 		return []Condition{NewCondition(KindNumbering, "platform", "the platform answers with lower revisions than before")}
 	case v.platform != PlatformOK && v.platform != "" && v.lasted >= PlatformAfter:
-		detail := fmt.Sprintf("the platform has been %s for %s", v.platform, v.lasted.Round(time.Second))
+		detail := fmt.Sprintf("for %s %s", v.lasted.Round(time.Second), v.platform.text())
 		return []Condition{NewCondition(KindPlatform, "platform", detail)}
 	default:
 		return nil
--- a/basillift/blnotice/detect_test.go
+++ b/basillift/blnotice/detect_test.go
@@ -47,3 +47,14 @@
 		})
 	}
 }
+
+// Guards against a daemon that catches up and is still reported, or one that never catches up and is not.
+func TestLag(t *testing.T) {
+	is := is.New(t)
+	var l Lag
+	older, newer := basillift.NewVersion(1, 1), basillift.NewVersion(1, 2)
+	is.Equal(l.Observe(start, older, newer), time.Duration(0))
+	is.Equal(l.Observe(start.Add(time.Minute), older, newer), time.Minute)
+	is.Equal(l.Observe(start.Add(time.Minute), newer, newer), time.Duration(0))
+	is.Equal(l.Observe(start.Add(2*time.Minute), older, newer), time.Duration(0))
+}
--- a/basillift/blproxy/guard.go
+++ b/basillift/blproxy/guard.go
@@ -18,8 +18,10 @@
 	"basillift.dev/basillift/blquarantine"
 )
 
+// MethodSuspicion is the notification that spreads which requests crashed targets.
+const MethodSuspicion = "suspicion"
+
 const (
-	MethodSuspicion = "suspicion"
 	// crashProbes and probeGap: a process that exits closes its sockets one after
 	// the other, so the first connect may still succeed.
 	crashProbes = 3
--- a/basilliftd/source.go
+++ b/basilliftd/source.go
@@ -47,18 +47,30 @@
 }
 
 // Explain says step by step where a call would go.
-func (s *source) Explain(time.Time, string, string, string) []string { return nil }
+func (s *source) Explain(now time.Time, customer, service, method string) []string {
+	return s.proxy.Explain(now, customer, service, method)
+}
+
+// viewer collects what conditions are detected from.
+type viewer struct {
+	node  *blnode.Node
+	proxy *blproxy.Proxy
+	lag   blnotice.Lag
+}
 
-// viewOf collects what conditions are detected from.
-func viewOf(n *blnode.Node) blnotice.View {
-	status := n.Status()
-	var services []string
-	if held, ok := n.Current(); ok {
-		services = held.Services()
+func (v *viewer) conditions(now time.Time) []blnotice.Condition {
+	status := v.node.Status()
+	held, ok := v.node.Current()
+	if !ok {
+		return nil
 	}
+	// An unreadable text leaves the zero version, which nothing is behind.
+	newest, _ := basillift.ParseVersion(status.Newest)
 	lasted := time.Duration(status.Platform.Lasted * float64(time.Second))
-	return blnotice.NewView(n.Self().ID(), services, n.Members()).
+	return blnotice.Detect(blnotice.NewView(v.node.Self().ID(), held.Services(), v.node.Members()).
 		WithPlatform(blnotice.PlatformState(status.Platform.Condition), lasted).
 		WithRefused(status.Platform.Problem).
-		WithCut(status.Cut)
+		WithCut(status.Cut).
+		WithQuarantined(v.proxy.Quarantined(now)).
+		WithBehind(v.lag.Observe(now, held.Version(), newest)))
 }
--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -96,9 +96,9 @@
 	return poller
 }
 
-func newNotices(s blsettings.Settings, n *blnode.Node, timeline *bltimeline.Log, log *bllog.Logger) *blnotice.Service {
-	detect := func(now time.Time) []blnotice.Condition { return blnotice.Detect(viewOf(n)) }
-	service := blnotice.NewService(n, n, timeline, log, detect, s.Notify())
+func newNotices(s blsettings.Settings, n *blnode.Node, p *blproxy.Proxy, timeline *bltimeline.Log, log *bllog.Logger) *blnotice.Service {
+	v := &viewer{node: n, proxy: p}
+	service := blnotice.NewService(n, n, timeline, log, v.conditions, s.Notify())
 	n.Handle(blnotice.MethodCondition, func(_ context.Context, _ basillift.VMID, params json.RawMessage) (any, error) {
 		return service.Handle(time.Now(), params)
 	})
--- a/basilliftlab/labdemo/report.go
+++ b/basilliftlab/labdemo/report.go
@@ -26,13 +26,14 @@
 	drainLast   time.Time
 	drainCut    []string
 
-	kill       Kill
-	stopCaller string
-	stopAt     time.Time
-	stopTook   time.Duration
-	stopFlying int
-	stopCut    []string
-	unclean    []string
+	kill          Kill
+	stopCaller    string
+	stopAt        time.Time
+	stopTook      time.Duration
+	stopFlying    int
+	stopCut       []string
+	withoutOwners int
+	unclean       []string
 
 	controlBytes    uint64
 	platformReads   uint64
@@ -156,6 +157,7 @@
 	w.AppendSeparator()
 	e := r.evidence
 	w.AppendRow(table.Row{"calls cut by SIGKILL of their own daemon", "", e.counts.cutByKill})
+	w.AppendRow(table.Row{"keyed calls refused for want of owners", "", e.withoutOwners})
 	w.AppendRow(table.Row{"convergence max", "", milliseconds(e.convergence.Max()) + " ms"})
 	w.AppendRow(table.Row{"reads that the platform refused", "", e.platformRefused})
 	return strings.Join(append([]string{e.loads, w.Render()}, examples...), "\n")
