blproxy: plan limits over the mesh

Cause: a plan's rate and concurrency apply to a customer over the whole mesh, and each daemon sees only its own callers.

Change: calls that enter the mesh here (depth 0) pass bladmit's Limiter; the daemon reports demand to the quota owner every 100 ms while there is any, and at once when a customer has no share here yet (Peers, message quota, at most 200 ms of waiting). HandleQuota divides the limits of the customers that this daemon owns. Refusals are 429 with Retry-After.

--- a/basillift/blproxy/call.go
+++ b/basillift/blproxy/call.go
@@ -30,7 +30,9 @@
 	slot     uint64
 	// guarded is set while the guard counts the call as in flight at the target,
 	// and answered once the target has answered it.
-	guarded  bool
+	guarded bool
+	// limited is set while the call counts against its customer's limits.
+	limited  bool
 	answered bool
 }
 
--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -62,13 +62,17 @@
 
 // forward sends the call to a target's daemon. It returns the refusal to answer, or nil if there is a response.
 func (p *Proxy) forward(ctx *fasthttp.RequestCtx, k *call, now time.Time) *refusal {
-	c, _, r := p.allowed(k)
+	c, plan, r := p.allowed(k)
 	if r != nil {
 		return r
 	}
 	if k.depth >= p.settings.depthLimit {
 		return refuse(basillift.OutcomeNotRun, basillift.ReasonDepth, "The call chain is too deep.")
 	}
+	r = p.limit(now, k, plan)
+	if r != nil {
+		return r
+	}
 	b, r := p.takeBody(ctx, k)
 	if r != nil {
 		return r
--- a/basillift/blproxy/fakes_test.go
+++ b/basillift/blproxy/fakes_test.go
@@ -107,18 +107,18 @@
 
 // link lets daemons send control messages to each other, in the form that they have on the wire.
 func link(t testing.TB, daemons ...*daemon) {
-	send := func(to basillift.VMID, method string, params, result any) error {
+	send := func(from, to basillift.VMID, method string, params, result any) error {
 		for _, d := range daemons {
 			if d.mesh.Self().ID() != to {
 				continue
 			}
 			handlers := map[string]func(context.Context, basillift.VMID, json.RawMessage) (any, error){
 				methodClaim: d.HandleClaim, methodSettle: d.HandleSettle, methodRoster: d.HandleRoster,
-				methodSuspicion: d.HandleSuspicion,
+				methodSuspicion: d.HandleSuspicion, methodQuota: d.HandleQuota,
 			}
 			raw, err := json.Marshal(params)
 			requireNoError(t, err)
-			answer, err := handlers[method](context.Background(), "", raw)
+			answer, err := handlers[method](context.Background(), from, raw)
 			if err != nil || result == nil {
 				return err
 			}
@@ -129,8 +129,11 @@
 		return basillift.ErrUnavailable
 	}
 	for _, d := range daemons {
-		d.mesh.calls = send
-		d.mesh.notify = func(to basillift.VMID, method string, params any) { _ = send(to, method, params, nil) }
+		from := d.mesh.Self().ID()
+		d.mesh.calls = func(to basillift.VMID, method string, params, result any) error {
+			return send(from, to, method, params, result)
+		}
+		d.mesh.notify = func(to basillift.VMID, method string, params any) { _ = send(from, to, method, params, nil) }
 	}
 }
 
--- a/basillift/blproxy/finish.go
+++ b/basillift/blproxy/finish.go
@@ -18,6 +18,9 @@
 
 // leave counts a call that ended, frees its slot and unties it from the connection.
 func (p *Proxy) leave(k *call) {
+	if k.limited {
+		p.quota.finished(time.Now(), k.customer)
+	}
 	if k.guarded {
 		p.spread(p.guard.leave(time.Now(), k, k.answered))
 	}
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -34,6 +34,7 @@
 	gate     *gate
 	keeper   *keeper
 	guard    *guard
+	quota    *quota
 	metrics  *counters
 	watcher  *watcher
 	caller   *fasthttp.Server
@@ -70,7 +71,7 @@
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
 		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
-		keeper: newKeeper(directory.Self()), guard: newGuard(),
+		keeper: newKeeper(directory.Self()), guard: newGuard(), quota: newQuota(),
 		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
 	p.metrics = newCounters(p)
@@ -151,6 +152,7 @@
 	group.Go(func() { failed <- p.mesh.Serve(p.onMesh) })
 	group.Go(func() { p.loop(ctx) })
 	group.Go(func() { p.gate.loop(ctx) })
+	group.Go(func() { p.quotaLoop(ctx) })
 	var err error
 	select {
 	case <-ctx.Done():
