--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -77,6 +77,7 @@
 		WithTimeouts(s.Timeout(), s.Longest()).
 		WithTarget(s.Slots(), s.Connections(), s.Queue()).
 		WithLinger(drainLinger).
+		WithDomains(s.Domains()).
 		WithRecording(blproxy.Recording(s.Trace()))
 	proxy, err := blproxy.New(limits, n, n, n, n, timeline, n)
 	if err != nil {
@@ -86,6 +87,7 @@
 	n.Handle(blproxy.MethodSettle, proxy.HandleSettle)
 	n.Handle(blproxy.MethodRoster, proxy.HandleRoster)
 	n.Handle(blproxy.MethodSuspicion, proxy.HandleSuspicion)
+	n.Handle(blproxy.MethodQuota, proxy.HandleQuota)
 	return proxy, nil
 }
 
