--- a/basillift/blrpc/pool_test.go
+++ b/basillift/blrpc/pool_test.go
@@ -203,14 +203,32 @@
 	call := func(to basillift.VMID) error { return f.pools["a"].Call(context.Background(), to, "echo", 1, nil) }
 	is.NoErr(call("b"))
 	is.NoErr(call("c"))
+	f.pools["a"].peer("b").current().calls.Add(1)
+	f.pools["a"].peer("c").current().calls.Add(1)
+	ahead.Store(int64(restTime))
 	is.True(errors.Is(call("d"), basillift.ErrUnavailable))
-	ahead.Store(int64(2 * busyTime))
+	f.pools["a"].peer("b").current().calls.Add(-1)
+	f.pools["a"].peer("c").current().calls.Add(-1)
+	ahead.Store(int64(2 * restTime))
 	is.NoErr(call("c"))
 	is.NoErr(call("d"))
 	is.True(f.pools["a"].peer("b").current() == nil)
 	is.True(f.pools["a"].peer("c").current() != nil)
 }
 
+// Guards against closed connections that stay in memory through the list of their peer.
+func TestRemovedLinkIsFreed(t *testing.T) {
+	is := is.New(t)
+	r := newPeer(NewPool("a", &fakeGreeter{name: "a"}, nil, 1), "b")
+	l := &link{}
+	r.add(l)
+	is.True(r.remove(l))
+	is.True(!r.remove(l))
+	for _, o := range r.links[:cap(r.links)] {
+		is.True(o == nil)
+	}
+}
+
 // Guards against messages that exhaust memory: a length above the bound and a broken
 // stream must both end the connection with an error.
 func TestStreamBounds(t *testing.T) {
