basilliftlab: record timelines of real processes under a fault

The audit rules were only tested with made-up timelines. The command record starts a small mesh (2 failure domains, 6 VMs) with a trace of all calls, kills, pauses or drains one daemon or stops the platform, collects the timelines of all daemons, also before the fault, and writes the merged one as JSON lines.

--- a/basilliftlab/commands/root.go
+++ b/basilliftlab/commands/root.go
@@ -70,6 +70,7 @@
 		newTargetCommand(ctx),
 		newLoadCommand(ctx),
 		newDemoCommand(ctx),
+		newRecordCommand(ctx),
 	}
 	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, c.long+exitCodes, c.data); err != nil {
--- a/basilliftlab/labdemo/client.go
+++ b/basilliftlab/labdemo/client.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bltimeline"
 )
 
 // ErrAnswer means that a process answered its check with another status than 2xx.
@@ -84,6 +85,19 @@
 	return b, err
 }
 
+// timeline reads the events that a daemon keeps.
+func (c *client) timeline(ctx context.Context, v VM) ([]basillift.Event, error) {
+	data, err := c.do(ctx, http.MethodGet, v.admin(), "/timeline", nil)
+	if err != nil {
+		return nil, err
+	}
+	events, err := bltimeline.Read(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("timeline of %s: %w", v.name, err)
+	}
+	return events, nil
+}
+
 // version asks a daemon for the version in force.
 func (c *client) version(ctx context.Context, v VM) (basillift.Version, error) {
 	var b struct {
--- a/basilliftlab/labdemo/fleet.go
+++ b/basilliftlab/labdemo/fleet.go
@@ -53,19 +53,27 @@
 
 func (f *Fleet) startDaemons() error {
 	for _, v := range f.mesh.VMs() {
-		path, err := writeSettings(f.folder, f.mesh, v)
-		if err != nil {
-			return err
-		}
-		p, err := f.start(v.name, "basilliftd", "--settings", path)
-		if err != nil {
+		if err := f.startDaemon(v); err != nil {
 			return err
 		}
-		f.daemons[v.name] = p
 	}
 	return nil
 }
 
+// startDaemon starts a VM's daemon, also again after its end.
+func (f *Fleet) startDaemon(v VM) error {
+	path, err := writeSettings(f.folder, f.mesh, v)
+	if err != nil {
+		return err
+	}
+	p, err := f.start(v.name, "basilliftd", "--settings", path)
+	if err != nil {
+		return err
+	}
+	f.daemons[v.name] = p
+	return nil
+}
+
 // check returns an error that names each process which ended on its own.
 func (f *Fleet) check() error {
 	errs := make([]error, 0, len(f.processes))
--- a/basilliftlab/labdemo/mesh.go
+++ b/basilliftlab/labdemo/mesh.go
@@ -16,7 +16,7 @@
 	servers int
 }
 
-// Mesh is the size of one company's mesh, as on the design page.
+// Mesh is the size of one company's mesh, as on the design page, or of a small one for recordings.
 type Mesh struct {
 	name        string
 	region      string
@@ -25,6 +25,7 @@
 	slots       int
 	connections int
 	network     int
+	trace       string
 }
 
 // NewMesh returns a mesh by name. Network is the second number of all its
@@ -35,16 +36,28 @@
 		return Mesh{
 			name: name, region: "tbilisi", domains: []string{"tbilisi-a", "tbilisi-b", "tbilisi-c"},
 			services: []service{{"catalogue", 6}, {"reservations", 4}, {"gallery", 3}},
-			slots:    10, connections: 130, network: network,
+			slots:    10, connections: 130, network: network, trace: "none",
 		}, nil
 	case "ponds":
 		return Mesh{
 			name: name, region: "new-england", domains: []string{"nashua", "burlington", "worcester", "bangor"},
 			services: []service{{"catalog", 4}, {"orders", 4}, {"ponddata", 4}},
-			slots:    12, connections: 120, network: network,
+			slots:    12, connections: 120, network: network, trace: "none",
+		}, nil
+	case "small":
+		return Mesh{
+			name: name, region: "tbilisi", domains: []string{"tbilisi-a", "tbilisi-b"},
+			services: []service{{"catalogue", 4}, {"reservations", 2}},
+			slots:    10, connections: 130, network: network, trace: "none",
 		}, nil
 	}
-	return Mesh{}, fmt.Errorf("mesh is %q, allowed are bindery and ponds: %w", name, ErrMesh)
+	return Mesh{}, fmt.Errorf("mesh is %q, allowed are bindery, ponds and small: %w", name, ErrMesh)
+}
+
+// withTrace returns a copy whose daemons record other calls in their timelines.
+func (m Mesh) withTrace(trace string) Mesh {
+	m.trace = trace
+	return m
 }
 
 // Services returns the names of the services.
--- a/basilliftlab/labdemo/settings.go
+++ b/basilliftlab/labdemo/settings.go
@@ -33,7 +33,7 @@
 		Name: v.name, Domain: v.domain, Domains: m.domains, Region: v.region, Service: v.service,
 		Caller: v.caller(), Mesh: v.mesh(), Control: v.control(), Admin: v.admin(), Target: v.target(),
 		Platform: "http://" + m.platform(), Seeds: m.seeds(v),
-		Slots: m.slots, Connections: m.connections, Trace: "none",
+		Slots: m.slots, Connections: m.connections, Trace: m.trace,
 	}, "", "  ")
 	if err != nil {
 		return "", fmt.Errorf("encode settings of %s: %w", v.name, err)
