--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -22,6 +22,12 @@
 	err     error
 }
 
+// broke reports whether the connection broke while the target had the request.
+func (f *failure) broke() bool {
+	return f != nil && f.outcome == basillift.OutcomeUnknown &&
+		(f.reason == basillift.ReasonTarget || f.reason == basillift.ReasonTruncated)
+}
+
 // exchange is one request sent over one connection, and its response.
 type exchange struct {
 	call   *call
@@ -29,8 +35,7 @@
 	conn   *connection
 	sender *sender
 	body   *body
-	// interrupt stops a read from the caller's connection.
-	interrupt func()
+	ctx    *fasthttp.RequestCtx
 }
 
 // send sends the request and reads the response's header. A body of known size
@@ -157,7 +162,7 @@
 		return
 	default:
 	}
-	x.interrupt()
+	_ = x.ctx.SetReadDeadline(time.Unix(1, 0))
 	_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
 	<-x.sender.done
 }
@@ -222,6 +227,7 @@
 	source   *fasthttp.Response
 	reusable bool
 	complete bool
+	broken   bool
 	ends     []func(complete bool)
 }
 
@@ -239,6 +245,7 @@
 		r.complete = true
 		return n, io.EOF
 	}
+	r.broken = true
 	r.exchange.call.conn.abort()
 	return n, fmt.Errorf("read response body: %w", err)
 }
--- a/basillift/blproxy/finish.go
+++ b/basillift/blproxy/finish.go
@@ -18,6 +18,12 @@
 
 // leave counts a call that ended, frees its slot and unties it from the connection.
 func (p *Proxy) leave(k *call) {
+	if k.limited {
+		p.quota.finished(time.Now(), k.customer)
+	}
+	if k.guarded {
+		p.spread(p.guard.leave(time.Now(), k, k.answered))
+	}
 	if k.slot != 0 {
 		p.gate.leave(time.Now(), k.slot)
 	}
@@ -42,11 +48,8 @@
 // finishAnswered ends the call now, or at the end of a streamed response. A
 // response that carries an outcome is a refusal of the target or its daemon.
 func (p *Proxy) finishAnswered(ctx *fasthttp.RequestCtx, k *call, kind basillift.EventKind, side *sideCounters) {
-	status, outcome, reason := ctx.Response.StatusCode(), basillift.OutcomeDone, basillift.ReasonNone
-	refused := announced(&ctx.Response)
-	if refused != nil {
-		outcome, reason = refused.outcome, refused.reason
-	}
+	status := ctx.Response.StatusCode()
+	outcome, reason := outcomeOf(announced(&ctx.Response))
 	stream, ok := ctx.Response.BodyStream().(*relay)
 	if !ok {
 		p.end(k, kind, status, outcome, reason, side)
@@ -54,13 +57,25 @@
 	}
 	_ = ctx.SetWriteDeadline(k.deadline)
 	stream.onEnd(func(complete bool) {
-		if !complete {
-			kind, outcome, reason = basillift.EventCallCut, basillift.OutcomeUnknown, basillift.ReasonTruncated
+		if complete {
+			p.end(k, kind, status, outcome, reason, side)
+			return
 		}
-		p.end(k, kind, status, outcome, reason, side)
+		k.answered = false
+		if stream.broken && side == &p.metrics.mesh && !k.isCanceled() {
+			p.suspectCrash()
+		}
+		p.end(k, basillift.EventCallCut, status, basillift.OutcomeUnknown, basillift.ReasonTruncated, side)
 	})
 }
 
+func outcomeOf(f *failure) (basillift.Outcome, basillift.Reason) {
+	if f == nil {
+		return basillift.OutcomeDone, basillift.ReasonNone
+	}
+	return f.outcome, f.reason
+}
+
 func (p *Proxy) end(k *call, kind basillift.EventKind, status int, o basillift.Outcome, r basillift.Reason, side *sideCounters) {
 	side.count(o)
 	now := time.Now()
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -32,6 +32,9 @@
 	pools    *pools
 	routes   *routes
 	gate     *gate
+	keeper   *keeper
+	guard    *guard
+	quota    *quota
 	metrics  *counters
 	watcher  *watcher
 	caller   *fasthttp.Server
@@ -39,7 +42,11 @@
 	onCaller net.Listener
 	onMesh   net.Listener
 
+	// background runs what outlasts a call; Run waits for it.
+	background sync.WaitGroup
+
 	draining atomic.Bool
+	closing  atomic.Bool
 	inFlight atomic.Int64
 	lastCall atomic.Uint64
 }
@@ -65,6 +72,7 @@
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
 		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
+		keeper: newKeeper(directory.Self()), guard: newGuard(), quota: newQuota(s.domains),
 		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
 	p.metrics = newCounters(p)
@@ -80,8 +88,9 @@
 	r.RedirectFixedPath = false
 	r.HandleMethodNotAllowed = false
 	r.HandleOPTIONS = false
-	r.ANY("/{service}", handle)
-	r.ANY("/{service}/{path:*}", handle)
+	// One route for all: two parameters cost the router 6 allocations for each call,
+	// and serviceOf has to look at the raw path anyway.
+	r.ANY("/{path:*}", handle)
 	r.NotFound = handle
 	return &fasthttp.Server{
 		Handler:                      r.Handler,
@@ -144,6 +153,7 @@
 	group.Go(func() { failed <- p.mesh.Serve(p.onMesh) })
 	group.Go(func() { p.loop(ctx) })
 	group.Go(func() { p.gate.loop(ctx) })
+	group.Go(func() { p.quotaLoop(ctx) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -152,13 +162,14 @@
 	cancel()
 	err = errors.Join(err, p.stop())
 	group.Wait()
+	p.background.Wait()
 	if err != nil {
 		return fmt.Errorf("serve calls: %w", err)
 	}
 	return nil
 }
 
-// loop closes connections that were idle for too long.
+// loop does what is due each second: it closes old connections and observes the owners of keys.
 func (p *Proxy) loop(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -168,16 +179,28 @@
 			return
 		case now := <-ticker.C:
 			p.pools.sweep(now)
+			p.observeRoster(ctx, now)
 		}
 	}
 }
 
+// observeRoster keeps the list of key owners current. A daemon without one asks its peers first.
+func (p *Proxy) observeRoster(ctx context.Context, now time.Time) {
+	if p.keeper.snapshot() == nil {
+		p.askRoster(ctx)
+	}
+	p.keeper.observe(now, p.directory)
+}
+
 // stop closes everything; calls in flight are canceled first.
 func (p *Proxy) stop() error {
 	for _, k := range p.watcher.calls() {
 		k.cancel()
 	}
 	err := errors.Join(p.caller.Shutdown(), p.mesh.Shutdown())
+	// A server that was not serving yet does not know its listener and would serve on.
+	_ = p.onCaller.Close()
+	_ = p.onMesh.Close()
 	p.pools.close()
 	return errors.Join(err, p.watcher.close())
 }
@@ -185,23 +208,26 @@
 // drainCheck is how often Drain looks whether calls are still in flight.
 const drainCheck = 5 * time.Millisecond
 
-// Drain refuses new calls from other daemons and waits until no call is in
-// flight. When ctx ends first, the remaining calls are cut and their number returned.
+// Drain refuses new calls from other daemons at once, and new calls from callers
+// after the linger time. It returns when no call is in flight. When ctx ends
+// first, the remaining calls are cut and their number returned.
 func (p *Proxy) Drain(ctx context.Context) int {
 	p.draining.Store(true)
 	p.gate.drain(time.Now())
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	quiet := time.Now()
+	end := time.Now().Add(p.settings.lingerAfterDrain)
 	for {
 		select {
 		case <-ctx.Done():
 			return p.cut()
 		case now := <-ticker.C:
-			if p.inFlight.Load() > 0 {
-				quiet = now
+			if now.Before(end) {
+				continue
 			}
-			if now.Sub(quiet) >= p.settings.lingerAfterDrain && p.inFlight.Load() == 0 {
+			// Without this a caller that never pauses would keep the daemon from stopping.
+			p.closing.Store(true)
+			if p.inFlight.Load() == 0 {
 				return 0
 			}
 		}
--- a/basilliftd/wire.go
+++ b/basilliftd/wire.go
@@ -77,11 +77,17 @@
 		WithTimeouts(s.Timeout(), s.Longest()).
 		WithTarget(s.Slots(), s.Connections(), s.Queue()).
 		WithLinger(drainLinger).
+		WithDomains(s.Domains()).
 		WithRecording(blproxy.Recording(s.Trace()))
 	proxy, err := blproxy.New(limits, n, n, n, n, timeline, n)
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
+	n.Handle(blproxy.MethodClaim, proxy.HandleClaim)
+	n.Handle(blproxy.MethodSettle, proxy.HandleSettle)
+	n.Handle(blproxy.MethodRoster, proxy.HandleRoster)
+	n.Handle(blproxy.MethodSuspicion, proxy.HandleSuspicion)
+	n.Handle(blproxy.MethodQuota, proxy.HandleQuota)
 	return proxy, nil
 }
 
@@ -92,9 +98,9 @@
 	return poller
 }
 
-func newNotices(s blsettings.Settings, n *blnode.Node, timeline *bltimeline.Log, log *bllog.Logger) *blnotice.Service {
-	detect := func(now time.Time) []blnotice.Condition { return blnotice.Detect(viewOf(n)) }
-	service := blnotice.NewService(n, n, timeline, log, detect, s.Notify())
+func newNotices(s blsettings.Settings, n *blnode.Node, p *blproxy.Proxy, timeline *bltimeline.Log, log *bllog.Logger) *blnotice.Service {
+	v := &viewer{node: n, proxy: p}
+	service := blnotice.NewService(n, n, timeline, log, v.conditions, s.Notify())
 	n.Handle(blnotice.MethodCondition, func(_ context.Context, _ basillift.VMID, params json.RawMessage) (any, error) {
 		return service.Handle(time.Now(), params)
 	})
