blproxy: hedge slow idempotent calls; bltarget: judge after both endpoints

Cause: one hanging target makes its share of reads wait for the deadline. A poll announced a healthy target as ready before it had read the load report (seen as a failure of TestPoller).

Change: after the p95 of its service a call that may run twice is sent to a second target within blroute's budget; the first complete answer counts and the other copy's connection is closed, also while it is being opened. The poller asks both endpoints and judges once.

--- a/basillift/blproxy/call.go
+++ b/basillift/blproxy/call.go
@@ -26,8 +26,11 @@
 	canceled bool
 	held     []*connection
 	space    [2]*connection
-	done     chan struct{}
-	slot     uint64
+	// decided is set once one of two copies of the call counts; keep is its connection.
+	decided bool
+	keep    *connection
+	done    chan struct{}
+	slot    uint64
 	// guarded is set while the guard counts the call as in flight at the target,
 	// and answered once the target has answered it.
 	guarded bool
@@ -90,7 +93,7 @@
 func (c *call) hold(n *connection) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.canceled {
+	if c.canceled || c.decided && n != c.keep {
 		return false
 	}
 	if c.held == nil {
@@ -110,5 +113,18 @@
 			break
 		}
 	}
-	return !c.canceled
+	return !c.canceled && !n.cut
+}
+
+// closeOthers closes all connections of the call but one, and refuses later ones.
+func (c *call) closeOthers(keep *connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.decided, c.keep = true, keep
+	for _, each := range c.held {
+		if each != keep {
+			each.cut = true
+			_ = each.Close()
+		}
+	}
 }
--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -93,14 +93,19 @@
 func (p *Proxy) travel(ctx *fasthttp.RequestCtx, k *call, b *body, c basillift.Configuration, now time.Time) *refusal {
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
-	k.prepare(ctx, out)
-	out.Header.Set(HeaderDepth, strconv.Itoa(k.depth+1))
-	out.Header.Set(HeaderVersion, c.Version().String())
-	out.Header.Set(HeaderFrom, string(p.directory.Self().ID()))
-	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b}
+	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b, version: c.Version()}
+	t.fill(out)
 	return t.run(now)
 }
 
+// fill makes the request for a target's daemon.
+func (t *trip) fill(out *fasthttp.Request) {
+	t.call.prepare(t.ctx, out)
+	out.Header.Set(HeaderDepth, strconv.Itoa(t.call.depth+1))
+	out.Header.Set(HeaderVersion, t.version.String())
+	out.Header.Set(HeaderFrom, string(t.proxy.directory.Self().ID()))
+}
+
 // takeBody reads the buffered part of the body within the deadline.
 func (p *Proxy) takeBody(ctx *fasthttp.RequestCtx, k *call) (*body, *refusal) {
 	if ctx.Request.IsBodyStream() {
--- a/basillift/blproxy/connection.go
+++ b/basillift/blproxy/connection.go
@@ -27,6 +27,9 @@
 	written   int64
 	idleSince time.Time
 	reused    bool
+	// cut is set when the other copy of a hedged call closed the connection. The
+	// call's mutex guards it.
+	cut bool
 }
 
 func newConnection(raw net.Conn) (*connection, error) {
--- /dev/null
+++ b/basillift/blproxy/hedge.go
@@ -0,0 +1,132 @@
+package blproxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blretry"
+)
+
+// hedge is a second copy of a slow call, sent to another target. The first
+// complete answer counts; the connection of the other copy is closed.
+type hedge struct {
+	trip    *trip
+	started time.Time
+	timer   *time.Timer
+	// done is closed at the end of run, which may use the caller's request until then.
+	done chan struct{}
+
+	mutex    sync.Mutex
+	stopped  bool
+	exchange *exchange
+	member   basillift.Member
+	response fasthttp.Response
+	won      bool
+}
+
+// newHedge returns nil for calls that may not run twice, and while too few calls
+// have ended to tell which one is slow.
+func (t *trip) newHedge(now time.Time) *hedge {
+	k := t.call
+	if k.depth > 0 || k.key != "" || !t.body.whole() || !blretry.Idempotent(k.method) {
+		return nil
+	}
+	delay, known := t.proxy.routes.hedgeDelay(k.service)
+	if !known {
+		return nil
+	}
+	h := &hedge{trip: t, started: now, done: make(chan struct{})}
+	h.timer = time.AfterFunc(delay, h.run)
+	return h
+}
+
+// run sends the copy if the budget and the targets allow it.
+func (h *hedge) run() {
+	defer close(h.done)
+	t, now := h.trip, time.Now()
+	if !h.prepare(now) {
+		return
+	}
+	t.proxy.metrics.hedges.Inc()
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	t.fill(out)
+	h.response.Header.SetNoDefaultContentType(true)
+	failed := &failure{basillift.OutcomeNotRun, basillift.ReasonDeadline, nil}
+	if t.call.setTimeout(now, out) {
+		failed = h.exchange.send(now, out, &h.response, t.proxy.settings.bufferSize)
+	}
+	if failed == nil {
+		failed = announced(&h.response)
+	}
+	t.proxy.routes.finished(time.Now(), h.member.ID(), resultOf(failed, h.response.StatusCode()))
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if failed == nil && !h.stopped {
+		h.won = true
+		t.call.closeOthers(h.exchange.conn)
+	}
+}
+
+// prepare chooses the target of the copy, and reports whether it is to be sent.
+func (h *hedge) prepare(now time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	t := h.trip
+	if h.stopped || !t.proxy.routes.hedge(now, t.call.service, now.Sub(h.started)) {
+		return false
+	}
+	targets := t.proxy.directory.Targets(t.call.service)
+	m, reason := t.proxy.routes.start(now, targets, t.tried[:t.count])
+	if reason != basillift.ReasonNone {
+		return false
+	}
+	h.member = m
+	t.proxy.recordCall(now, t.call, basillift.EventCallRouted, m.ID())
+	h.exchange = &exchange{call: t.call, pool: t.proxy.pools.of(m.Addresses().Mesh()), body: t.body, ctx: t.ctx}
+	return true
+}
+
+// finish ends the hedge after the first copy and reports whether the answer of
+// the second one counts. A first copy that failed waits for the second.
+func (h *hedge) finish(first *exchange, failed *failure) bool {
+	if h.timer.Stop() {
+		return false
+	}
+	if failed == nil && !h.stop(first) {
+		<-h.done
+		_ = h.response.CloseBodyStream()
+		return false
+	}
+	<-h.done
+	return h.won
+}
+
+// stop closes the second copy's connection, and reports whether it has won already.
+func (h *hedge) stop(first *exchange) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.won {
+		return true
+	}
+	h.stopped = true
+	h.trip.call.closeOthers(first.conn)
+	return false
+}
+
+// adopt puts the second copy's answer in the place of the first one's.
+func (h *hedge) adopt(response *fasthttp.Response) {
+	response.ResetBody()
+	h.response.Header.CopyTo(&response.Header)
+	response.SkipBody = h.response.SkipBody
+	stream, ok := h.response.BodyStream().(*relay)
+	switch {
+	case ok:
+		response.SetBodyStream(stream, max(h.response.Header.ContentLength(), -1))
+	case !response.SkipBody:
+		response.SetBody(h.response.Body())
+	}
+}
--- a/basillift/blproxy/routes.go
+++ b/basillift/blproxy/routes.go
@@ -18,6 +18,7 @@
 	rnd     *rand.Rand
 	chooser *blroute.Chooser
 	budgets map[string]*blretry.Budget
+	hedgers map[string]*blroute.Hedger
 }
 
 // newRoutes seeds the random choices by the VM and its incarnation: daemons that
@@ -29,6 +30,7 @@
 		rnd:     rnd,
 		chooser: blroute.NewChooser(self.Place(), blroute.DefaultSettings(), rnd),
 		budgets: map[string]*blretry.Budget{},
+		hedgers: map[string]*blroute.Hedger{},
 	}
 }
 
@@ -49,11 +51,12 @@
 	r.chooser.Finished(now, id, result)
 }
 
-// called adds a first attempt to the retry budget of its service.
+// called adds a first attempt to the budgets of its service.
 func (r *routes) called(now time.Time, service string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.budget(service).Called(now)
+	r.hedger(service).Started(now)
 }
 
 func (r *routes) decide(now time.Time, service string, a blretry.Attempt) blretry.Decision {
@@ -71,3 +74,33 @@
 	}
 	return b
 }
+
+func (r *routes) hedger(service string) *blroute.Hedger {
+	h := r.hedgers[service]
+	if h == nil {
+		h = blroute.NewHedger()
+		r.hedgers[service] = h
+	}
+	return h
+}
+
+// hedgeDelay is how long after its start a call of the service counts as slow.
+func (r *routes) hedgeDelay(service string) (time.Duration, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.hedger(service).Delay()
+}
+
+// hedge takes a token for the second copy of an idempotent call.
+func (r *routes) hedge(now time.Time, service string, elapsed time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.hedger(service).Hedge(now, elapsed, true, false)
+}
+
+// answered notes the latency of a call.
+func (r *routes) answered(now time.Time, service string, elapsed time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.hedger(service).Finished(now, elapsed)
+}
--- a/basillift/blproxy/trip.go
+++ b/basillift/blproxy/trip.go
@@ -16,14 +16,15 @@
 
 // trip is the way of one call through the caller side: its attempts at targets.
 type trip struct {
-	proxy  *Proxy
-	ctx    *fasthttp.RequestCtx
-	call   *call
-	out    *fasthttp.Request
-	body   *body
-	member basillift.Member
-	tried  [mostTries]basillift.VMID
-	count  int
+	proxy   *Proxy
+	ctx     *fasthttp.RequestCtx
+	call    *call
+	out     *fasthttp.Request
+	body    *body
+	version basillift.Version
+	member  basillift.Member
+	tried   [mostTries]basillift.VMID
+	count   int
 }
 
 // run sends the request until there is a response, or a failure that is final.
@@ -95,11 +96,21 @@
 		return &failure{basillift.OutcomeNotRun, basillift.ReasonDeadline, nil}, false
 	}
 	x := &exchange{call: k, pool: p.pools.of(t.member.Addresses().Mesh()), body: t.body, ctx: t.ctx}
+	h := t.newHedge(now)
 	failed = x.send(now, t.out, &t.ctx.Response, p.settings.bufferSize)
 	if failed == nil {
 		failed = announced(&t.ctx.Response)
 		answered = failed != nil
 	}
+	if h != nil && h.finish(x, failed) {
+		h.adopt(&t.ctx.Response)
+		p.routes.finished(time.Now(), t.member.ID(), blroute.ResultOK)
+		return nil, false
+	}
+	if failed == nil {
+		at := time.Now()
+		p.routes.answered(at, k.service, at.Sub(now))
+	}
 	if failed.broke() && t.body.failed == nil {
 		p.guard.broken(time.Now(), fingerprintOf(t.ctx, k, t.body))
 	}
--- a/basillift/bltarget/poller.go
+++ b/basillift/bltarget/poller.go
@@ -85,11 +85,10 @@
 	}
 }
 
-// poll asks both endpoints. The health check goes first, so that a state that the
-// load endpoint lowers is announced at once.
+// poll asks both endpoints before it judges: a target that is healthy but reports
+// that it drains must not be announced as ready in between.
 func (p *Poller) poll() {
 	healthy := p.healthy()
-	p.apply(func(now time.Time, j *Judge) basillift.TargetState { return j.Health(now, healthy) })
 	l, err := p.askLoad()
 	if err != nil {
 		// A target without a usable report is judged by the rest.
@@ -97,7 +96,8 @@
 	}
 	p.apply(func(now time.Time, j *Judge) basillift.TargetState {
 		p.latest = l
-		return j.Load(now, l)
+		j.Load(now, l)
+		return j.Health(now, healthy)
 	})
 }
 
