--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -65,32 +65,50 @@
 
 // forward sends the call to a target's daemon. It returns the refusal to answer, or nil if there is a response.
 func (p *Proxy) forward(ctx *fasthttp.RequestCtx, k *call, now time.Time) *refusal {
-	c, _, r := p.allowed(k)
+	c, plan, r := p.allowed(k)
 	if r != nil {
 		return r
 	}
 	if k.depth >= p.settings.depthLimit {
 		return refuse(basillift.OutcomeNotRun, basillift.ReasonDepth, "The call chain is too deep.")
 	}
+	r = p.limit(now, k, plan)
+	if r != nil {
+		return r
+	}
 	b, r := p.takeBody(ctx, k)
 	if r != nil {
 		return r
 	}
-	out := fasthttp.AcquireRequest()
-	k.prepare(ctx, out)
-	out.Header.Set(HeaderDepth, strconv.Itoa(k.depth+1))
-	out.Header.Set(HeaderVersion, c.Version().String())
-	out.Header.Set(HeaderFrom, string(p.directory.Self().ID()))
-	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b}
-	r = t.run(now)
-	fasthttp.ReleaseRequest(out)
-	b.release()
+	defer b.release()
+	if k.key == "" {
+		r = p.travel(ctx, k, b, c, now)
+	} else {
+		r = p.claimed(ctx, k, now, func() *refusal { return p.travel(ctx, k, b, c, time.Now()) })
+	}
 	if r == nil {
 		p.finishAnswered(ctx, k, basillift.EventCallAnswered, &p.metrics.caller)
 	}
 	return r
 }
 
+// travel sends the request to targets until one answers.
+func (p *Proxy) travel(ctx *fasthttp.RequestCtx, k *call, b *body, c basillift.Configuration, now time.Time) *refusal {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b, version: c.Version()}
+	t.fill(out)
+	return t.run(now)
+}
+
+// fill makes the request for a target's daemon.
+func (t *trip) fill(out *fasthttp.Request) {
+	t.call.prepare(t.ctx, out)
+	out.Header.Set(HeaderDepth, strconv.Itoa(t.call.depth+1))
+	out.Header.Set(HeaderVersion, t.version.String())
+	out.Header.Set(HeaderFrom, string(t.proxy.directory.Self().ID()))
+}
+
 // takeBody reads the buffered part of the body within the deadline.
 func (p *Proxy) takeBody(ctx *fasthttp.RequestCtx, k *call) (*body, *refusal) {
 	if ctx.Request.IsBodyStream() {
@@ -104,11 +122,6 @@
 	return b, nil
 }
 
-// interrupter returns a function that ends a read from the caller's connection.
-func interrupter(ctx *fasthttp.RequestCtx) func() {
-	return func() { _ = ctx.SetReadDeadline(time.Unix(1, 0)) }
-}
-
 func (f *failure) refusal() *refusal {
 	message := "The target gave no complete answer."
 	if f.outcome == basillift.OutcomeNotRun {
--- a/basillift/blproxy/connection.go
+++ b/basillift/blproxy/connection.go
@@ -27,6 +27,9 @@
 	written   int64
 	idleSince time.Time
 	reused    bool
+	// cut is set when the other copy of a hedged call closed the connection. The
+	// call's mutex guards it.
+	cut bool
 }
 
 func newConnection(raw net.Conn) (*connection, error) {
@@ -76,9 +79,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	var b [1]byte
-	_, _, err := unix.Recvfrom(c.descriptor, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return err == unix.EAGAIN
+	ready := [1]unix.PollFd{{Fd: int32(c.descriptor), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, err := unix.Poll(ready[:], 0)
+	return n == 0 && err == nil
 }
 
 // begin prepares the connection for a call that must end by the deadline.
--- a/basillift/blproxy/settings.go
+++ b/basillift/blproxy/settings.go
@@ -1,6 +1,10 @@
 package blproxy
 
-import "time"
+import (
+	"time"
+
+	"basillift.dev/basillift"
+)
 
 // Recording says which calls are written to the timeline.
 type Recording string
@@ -30,6 +34,7 @@
 	slots            int
 	targetLimit      int
 	queueLength      int
+	domains          []basillift.FailureDomain
 }
 
 // NewSettings returns the default limits with the addresses on which callers and
@@ -106,3 +111,10 @@
 	s.slots, s.targetLimit, s.queueLength = slots, connections, queue
 	return s
 }
+
+// WithDomains returns a copy with the failure domains over which plan limits are
+// divided, also while no member of them is known.
+func (s Settings) WithDomains(failureDomains []basillift.FailureDomain) Settings {
+	s.domains = failureDomains
+	return s
+}
