--- a/basillift/blrelay/state_test.go
+++ b/basillift/blrelay/state_test.go
@@ -162,3 +162,31 @@
 		is.True(len(again) == 1 && again[0].Full())
 	})
 }
+
+// Guards against a healed partition in which the older side stays behind or the newer one
+// is moved back.
+func TestHealedPartition(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	o := testOrder("ab", 4)
+	self, other := o.Domain("b")[0], o.Domain("a")[0]
+	older, newest := basillift.NewVersion(1, 1), basillift.NewVersion(1, 2)
+	s := NewState(self, rand.New(rand.NewSource(1)))
+	s.Apply(now, Arranged(o))
+	s.Apply(now, Adopted("", older))
+	for _, id := range o.Domain("b")[1:] {
+		s.Apply(now, Heard(id, older, CauseProbe))
+	}
+	fetch := s.Apply(now, Heard(other, newest, CauseProbe))
+	is.Equal(len(fetch), 1)
+	is.Equal(fetch[0].Peer(), other)
+	pushed := s.Apply(now, Adopted(other, newest))
+	is.Equal(len(pushed), 3) // to the three others of its failure domain, not back
+	for _, a := range pushed {
+		is.Equal(a.Kind(), ActionPush)
+		is.Equal(a.From(), older)
+	}
+	is.Equal(len(s.Apply(now, Heard(other, older, CauseProbe))), 0)
+	is.Equal(len(s.Apply(now, Adopted(other, older))), 0)
+	is.Equal(s.Held(), newest)
+}
