--- a/basillift/blproxy/hedge.go
+++ b/basillift/blproxy/hedge.go
@@ -23,7 +23,7 @@
 	stopped  bool
 	exchange *exchange
 	member   basillift.Member
-	response fasthttp.Response
+	response *fasthttp.Response
 	won      bool
 }
 
@@ -54,13 +54,15 @@
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	t.fill(out)
+	// The response is not pooled: its stream may be handed over to the caller's.
+	h.response = &fasthttp.Response{}
 	h.response.Header.SetNoDefaultContentType(true)
 	failed := &failure{basillift.OutcomeNotRun, basillift.ReasonDeadline, nil}
 	if t.call.setTimeout(now, out) {
-		failed = h.exchange.send(now, out, &h.response, t.proxy.settings.bufferSize)
+		failed = h.exchange.send(now, out, h.response, t.proxy.settings.bufferSize)
 	}
 	if failed == nil {
-		failed = announced(&h.response)
+		failed = announced(h.response)
 	}
 	t.proxy.routes.finished(time.Now(), h.member.ID(), resultOf(failed, h.response.StatusCode()))
 	h.mutex.Lock()
@@ -98,7 +100,9 @@
 	}
 	if failed == nil && !h.stop(first) {
 		<-h.done
-		_ = h.response.CloseBodyStream()
+		if h.response != nil {
+			_ = h.response.CloseBodyStream()
+		}
 		return false
 	}
 	<-h.done
