blproxy: end a drain under a busy caller; no calls without a version

Cause: a caller that keeps sending held Drain up to its bound, which cuts calls; and a daemon that holds no version yet let calls of other daemons in.

Change: 2 s after the start of a drain new calls of callers are refused as not run; the mesh side refuses with no-version until a first version is in force.

Conclusion: TestDrainBusyCaller and a new case of TestVersions pass with -race.

--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -29,6 +29,9 @@
 	now := time.Now()
 	k, r := p.begin(ctx, now)
 	p.enter(k)
+	if r == nil && p.closed.Load() {
+		r = refuse(basillift.OutcomeNotRun, basillift.ReasonDraining, "This VM is leaving.")
+	}
 	if r == nil {
 		p.recordCall(now, k, basillift.EventCallAccepted, "")
 		r = p.forward(ctx, k, now)
--- a/basillift/blproxy/mesh.go
+++ b/basillift/blproxy/mesh.go
@@ -39,7 +39,7 @@
 		return "", refuse(basillift.OutcomeNotRun, basillift.ReasonNoTarget, "The target on this VM is of another service.")
 	}
 	c, plan, r := p.allowed(k)
-	if r != nil && c != nil && !k.version.NewerThan(c.Version()) {
+	if r != nil && (c == nil || !k.version.NewerThan(c.Version())) {
 		return "", r
 	}
 	// A sender with a newer version knows better than this daemon what is allowed.
--- a/basillift/blproxy/policies_test.go
+++ b/basillift/blproxy/policies_test.go
@@ -157,6 +157,11 @@
 		assertAnswer(t, caller.ask(t, "GET", "/catalogue/1", ""), 200, "GET /catalogue/1 ")
 		called.mesh.locked(func() { is.New(t).Equal(called.mesh.observed, []basillift.Version{allowing.version}) })
 	})
+	t.Run("receiver has none", func(t *testing.T) {
+		called.source = configuration{}
+		r := caller.ask(t, "GET", "/catalogue/1", "")
+		assertRefused(t, r, 503, basillift.OutcomeNotRun, basillift.ReasonNoVersion)
+	})
 	t.Run("sender is behind", func(t *testing.T) {
 		denying.version = basillift.NewVersion(1, 9)
 		called.source = denying
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -46,6 +46,7 @@
 	background sync.WaitGroup
 
 	draining atomic.Bool
+	closed   atomic.Bool
 	inFlight atomic.Int64
 	lastCall atomic.Uint64
 }
@@ -207,19 +208,25 @@
 // drainCheck is how often Drain looks whether calls are still in flight.
 const drainCheck = 5 * time.Millisecond
 
-// Drain refuses new calls from other daemons and waits until no call is in
+// callerGrace is how long after the start of a drain callers of this VM are still
+// served. Without an end, a busy caller would keep Drain waiting up to its bound.
+const callerGrace = 2 * time.Second
+
+// Drain refuses new calls from other daemons, later also of callers, and waits until no call is in
 // flight. When ctx ends first, the remaining calls are cut and their number returned.
 func (p *Proxy) Drain(ctx context.Context) int {
 	p.draining.Store(true)
 	p.gate.drain(time.Now())
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	quiet := time.Now()
+	begun := time.Now()
+	quiet := begun
 	for {
 		select {
 		case <-ctx.Done():
 			return p.cut()
 		case now := <-ticker.C:
+			p.closed.Store(now.Sub(begun) > callerGrace)
 			if p.inFlight.Load() > 0 {
 				quiet = now
 			}
--- a/basillift/blproxy/uploads_test.go
+++ b/basillift/blproxy/uploads_test.go
@@ -214,6 +214,20 @@
 	is.New(t).Equal(<-drained, 0)
 }
 
+// TestDrainBusyCaller guards against a stop that a busy caller holds up to its bound.
+func TestDrainBusyCaller(t *testing.T) {
+	caller, _ := startPair(t, startTarget(t, echo), patient)
+	drained := make(chan int, 1)
+	go func() { drained <- caller.Drain(context.Background()) }()
+	eventually(t, caller.draining.Load)
+	r := caller.ask(t, "POST", "/catalogue/1", "goat")
+	is.New(t).Equal(r.StatusCode(), 200)
+	is.New(t).True(r.ConnectionClose())
+	is.New(t).Equal(<-drained, 0)
+	caller.closed.Store(true)
+	assertRefused(t, caller.ask(t, "POST", "/catalogue/1", ""), 503, basillift.OutcomeNotRun, basillift.ReasonDraining)
+}
+
 // TestDrainBound guards against a stop that never ends, and a caller that waits for a cut call.
 func TestDrainBound(t *testing.T) {
 	arrived := make(chan struct{})
