--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -29,7 +29,7 @@
 	now := time.Now()
 	k, r := p.begin(ctx, now)
 	p.enter(k)
-	if r == nil && p.closing.Load() {
+	if r == nil && p.closed.Load() {
 		r = refuse(basillift.OutcomeNotRun, basillift.ReasonDraining, "The daemon is stopping.")
 	}
 	if r == nil {
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -46,7 +46,7 @@
 	background sync.WaitGroup
 
 	draining atomic.Bool
-	closing  atomic.Bool
+	closed   atomic.Bool
 	inFlight atomic.Int64
 	lastCall atomic.Uint64
 }
@@ -226,7 +226,7 @@
 				continue
 			}
 			// Without this a caller that never pauses would keep the daemon from stopping.
-			p.closing.Store(true)
+			p.closed.Store(true)
 			if p.inFlight.Load() == 0 {
 				return 0
 			}
