--- a/basillift/blaudit/audit_test.go
+++ b/basillift/blaudit/audit_test.go
@@ -82,6 +82,10 @@
 	}
 }
 
+func heard(vm basillift.VMID, s basillift.TargetState) func(time.Time) basillift.Event {
+	return func(now time.Time) basillift.Event { return state(s)(now).WithTarget(vm) }
+}
+
 func stopped(cut int) func(time.Time) basillift.Event {
 	return func(now time.Time) basillift.Event {
 		return basillift.NewEvent(now, basillift.EventStopped).WithOutcome("", "", cut)
@@ -162,6 +166,11 @@
 			"admitted while leaving",
 			record(on("b", state(basillift.TargetDraining)), on("b", call(basillift.EventCallAdmitted, "c1"))), LeaveTarget,
 		},
+		{
+			"drain hidden by the state of another target",
+			record(on("a", applied(1)), on("a", joined("b")), on("b", state(basillift.TargetDraining)),
+				on("b", heard("c", basillift.TargetReady)), wait(3*time.Second), on("a", routed("c1", "b"))), LeaveTarget,
+		},
 		{"stop cut a call", record(on("a", kind(basillift.EventStopping)), on("a", stopped(1))), GracefulStop},
 		{
 			"daemon stays behind",
@@ -193,6 +202,12 @@
 					return basillift.NewEvent(now, basillift.EventMemberDied).WithTarget("b")
 				}), wait(4*time.Second), on("b", kind(basillift.EventReaderStarted))),
 		},
+		{
+			// Seen in testdata/drain.jsonl: each daemon records the drain that it hears of.
+			"another target drains",
+			record(on("a", applied(1)), on("a", joined("b")), on("b", heard("c", basillift.TargetDraining)),
+				on("b", call(basillift.EventCallAdmitted, "c1")), wait(3*time.Second), on("a", routed("c1", "b"))),
+		},
 		{
 			"target is ready again",
 			record(on("a", applied(1)), on("a", joined("b")), on("b", state(basillift.TargetDraining)),
--- a/basillift/blaudit/leaving.go
+++ b/basillift/blaudit/leaving.go
@@ -17,7 +17,9 @@
 		case basillift.EventStarted:
 			delete(leaving, e.VM())
 		case basillift.EventTargetState:
-			trackLeaving(leaving, e)
+			if own(e) {
+				trackLeaving(leaving, e)
+			}
 		case basillift.EventCallRouted:
 			left, known := leaving[e.Target()]
 			if known && e.VM() != e.Target() && e.At().Sub(left.At()) > LeaveBound+ClockError {
@@ -33,6 +35,10 @@
 	return findings
 }
 
+// own reports whether a state is that of the recording VM's target. Daemons also record
+// the states that they hear of others, with the other VM as target.
+func own(e basillift.Event) bool { return e.Target() == "" || e.Target() == e.VM() }
+
 // trackLeaving keeps when a target began to leave; a target that is ready again has not left.
 func trackLeaving(leaving map[basillift.VMID]basillift.Event, e basillift.Event) {
 	switch e.State() {
