blfault: let a daemon read the platform as soon as it has asked its peers

The mutation that skips the join rule was noticed by TestJoin only: the test daemon read the platform at its next tick, when the newer version of its peers had arrived. blnode begins to read at once, and so does the test daemon now.

--- a/basillift/blfault/daemon_test.go
+++ b/basillift/blfault/daemon_test.go
@@ -25,6 +25,7 @@
 	generation uint64
 	until      time.Time
 	dead       bool
+	reading    bool
 	applied    int
 	checked    *blconfig.Snapshot
 	highest    [2]basillift.Version
--- a/basillift/blfault/versions_test.go
+++ b/basillift/blfault/versions_test.go
@@ -23,6 +23,16 @@
 	d.distribute(d.relay.Apply(d.now(), blrelay.Heard(peer, v, c)))
 	d.consider()
 	d.enforce()
+	d.startReading()
+}
+
+// startReading reads at once when the daemon becomes a reader, as blnode does; ticks repeat it.
+func (d *daemon) startReading() {
+	if d.reading || !d.order.IsReader(d.id) || !d.join.Asked(d.now()) {
+		return
+	}
+	d.reading = true
+	d.readPlatform()
 }
 
 func (d *daemon) distribute(actions []blrelay.Action) {
