--- a/basillift/blfault/daemon_test.go
+++ b/basillift/blfault/daemon_test.go
@@ -25,8 +25,10 @@
 	generation uint64
 	until      time.Time
 	dead       bool
+	reading    bool
 	applied    int
 	checked    *blconfig.Snapshot
+	highest    [2]basillift.Version
 	proxy      *proxy
 }
 
