--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -208,26 +208,26 @@
 // drainCheck is how often Drain looks whether calls are still in flight.
 const drainCheck = 5 * time.Millisecond
 
+// callerGrace is how long after the start of a drain callers of this VM are still
+// served. Without an end, a busy caller would keep Drain waiting up to its bound.
+const callerGrace = 2 * time.Second
+
 // Drain refuses new calls from other daemons at once, and new calls from callers
-// after the linger time. It returns when no call is in flight. When ctx ends
-// first, the remaining calls are cut and their number returned.
+// after a grace time. It returns when the linger time has passed and no call is in flight. When
+// ctx ends first, the remaining calls are cut and their number returned.
 func (p *Proxy) Drain(ctx context.Context) int {
 	p.draining.Store(true)
 	p.gate.drain(time.Now())
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	end := time.Now().Add(p.settings.lingerAfterDrain)
+	begun := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return p.cut()
 		case now := <-ticker.C:
-			if now.Before(end) {
-				continue
-			}
-			// Without this a caller that never pauses would keep the daemon from stopping.
-			p.closed.Store(true)
-			if p.inFlight.Load() == 0 {
+			p.closed.Store(now.Sub(begun) > callerGrace)
+			if now.Sub(begun) >= p.settings.lingerAfterDrain && p.inFlight.Load() == 0 {
 				return 0
 			}
 		}
