blproxy: refuse callers before the last check of a drain

Cause: Drain returned at a moment without calls while callers were still accepted; a call that began between this moment and the end of the process was cut. The test of a busy caller holds a slow call in flight instead of relying on a race, and checks the refusal after Drain without setting the flag itself, which is stricter.

--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -226,8 +226,14 @@
 		case <-ctx.Done():
 			return p.cut()
 		case now := <-ticker.C:
-			p.closed.Store(now.Sub(begun) > callerGrace)
-			if now.Sub(begun) >= p.settings.lingerAfterDrain && p.inFlight.Load() == 0 {
+			idle := now.Sub(begun) >= p.settings.lingerAfterDrain && p.inFlight.Load() == 0
+			if !idle && now.Sub(begun) <= callerGrace {
+				continue
+			}
+			// A call that began after the check counts as in flight before it looks at closed, so that
+			// it is either refused or waited for.
+			p.closed.Store(true)
+			if p.inFlight.Load() == 0 {
 				return 0
 			}
 		}
--- a/basillift/blproxy/uploads_test.go
+++ b/basillift/blproxy/uploads_test.go
@@ -214,17 +214,29 @@
 	is.New(t).Equal(<-drained, 0)
 }
 
-// TestDrainBusyCaller guards against a stop that a busy caller holds up to its bound.
+// TestDrainBusyCaller guards against a stop that a busy caller holds up to its
+// bound, and against a call that is accepted after the last check for calls in flight.
 func TestDrainBusyCaller(t *testing.T) {
-	caller, _ := startPair(t, startTarget(t, echo), patient)
+	arrived, leave := make(chan struct{}), make(chan struct{})
+	target := startTarget(t, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/catalogue/slow" {
+			close(arrived)
+			<-leave
+		}
+		echo(ctx)
+	})
+	caller, _ := startPair(t, target, patient)
+	_, slow := dialCaller(t, caller, "POST /catalogue/slow"+start+"Content-Length: 0\r\n\r\n")
+	<-arrived
 	drained := make(chan int, 1)
 	go func() { drained <- caller.Drain(context.Background()) }()
 	eventually(t, caller.draining.Load)
 	r := caller.ask(t, "POST", "/catalogue/1", "goat")
 	is.New(t).Equal(r.StatusCode(), 200)
 	is.New(t).True(r.ConnectionClose())
+	close(leave)
+	is.New(t).Equal(readResponse(t, slow).StatusCode(), 200)
 	is.New(t).Equal(<-drained, 0)
-	caller.closed.Store(true)
 	assertRefused(t, caller.ask(t, "POST", "/catalogue/1", ""), 503, basillift.OutcomeNotRun, basillift.ReasonDraining)
 }
 
