--- a/basillift/blfault/page.go
+++ b/basillift/blfault/page.go
@@ -12,7 +12,10 @@
 the deciding packages under virtual time; "not run yet" is not tested here, and "cannot occur" gives the reason. The numbers are
 those of the promises on the design page that the fault could break at that step. ` + "`TestPairs`" + ` runs seeded pairs of
 cells, every fourth one the same cell twice. The request path of the test daemons is a model around blroute, bladmit, blretry and
-blquarantine; blproxy itself, idempotency keys and plan limits are not part of the matrix. Which test notices which defect of the
+blquarantine; blproxy itself, idempotency keys and plan limits are not part of the matrix. A run checks the promises 1, 3, 5, 6, 7 and 9, that all
+daemons agree on who is alive at the end, that callers avoid a failing target, and that a crashing request takes down at most
+3 targets; it does not check the promises 2, 4 and 8, nor every word of the outcome. The bound of promise 7 is checked at daemons
+that can exchange messages with the draining one directly. Which test notices which defect of the
 implementation is on the page [mutations](mutations.md).
 
 `
--- a/basillift/blfault/target_test.go
+++ b/basillift/blfault/target_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"basillift.dev/basillift"
-	"basillift.dev/basillift/blaudit"
 	"basillift.dev/basillift/blquarantine"
 )
 
@@ -102,7 +101,7 @@
 	w.after(nil, 20*time.Second, func() {
 		// A second fault may take the memory of the suspicion away or keep it from spreading.
 		if len(w.hooks) == 1 && (w.calls.lost == 0 || w.calls.lost > lostTargets) {
-			w.t.Errorf("promise %d: a crashing request took down %d targets, at most %d are permitted", blaudit.TrulyNotRun, w.calls.lost, lostTargets)
+			w.t.Errorf("a crashing request took down %d targets, 1 to %d are expected", w.calls.lost, lostTargets)
 		}
 	})
 }
