--- a/basilliftlab/commands/bench.go
+++ b/basilliftlab/commands/bench.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 
 	"basillift.dev/basilliftlab/labbench"
@@ -41,6 +42,9 @@
 	if c.Network < 0 || c.Network > maximumNetwork {
 		return fmt.Errorf("--network is %d, 0 to %d are allowed: %w", c.Network, maximumNetwork, errUsage)
 	}
+	if c.Only != "" && !slices.Contains(labbench.Names(), c.Only) {
+		return fmt.Errorf("--only is %q, allowed are %s: %w", c.Only, strings.Join(labbench.Names(), ", "), errUsage)
+	}
 	options := labbench.NewOptions(c.Out).WithOnly(c.Only).WithSeed(c.Seed).WithNetwork(c.Network).
 		WithLarge(c.Large).WithCommand(c.line())
 	report, err := labbench.New(options).Run(c.ctx)
