blrelay: remember that a fetch brings the peer to the held version; poll the target once ready

A restarted daemon announced its target 9 to 15 ms before it held a version. Change: a request sets the known version to the held one; the poller starts when the node is ready. TestPushAfterFetch fails without the change.

--- a/basillift/blrelay/state.go
+++ b/basillift/blrelay/state.go
@@ -64,7 +64,11 @@
 		return s.want(now, e.version, e.cause)
 	case eventRequested:
 		s.known[e.peer] = e.version
-		return s.want(now, e.version, CauseProbe)
+		actions := s.want(now, e.version, CauseProbe)
+		// The answer carries the held version. Without this every later push to the
+		// peer would start one version too early, and the peer would fetch again.
+		s.known[e.peer] = newer(e.version, s.held)
+		return actions
 	case eventPushed:
 		return s.pushed(now, e)
 	case eventAdopted:
--- a/basillift/blrelay/state_test.go
+++ b/basillift/blrelay/state_test.go
@@ -190,3 +190,27 @@
 	is.Equal(len(s.Apply(now, Adopted(other, older))), 0)
 	is.Equal(s.Held(), newest)
 }
+
+// Guards against pushes that start one version too early for ever after a peer has fetched once,
+// so that the peer fetches each later version again.
+func TestPushAfterFetch(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	o := testOrder("a", 3)
+	self, peer := o.Domain("a")[0], o.Domain("a")[1]
+	first, second, third := basillift.NewVersion(1, 1), basillift.NewVersion(1, 2), basillift.NewVersion(1, 3)
+	s := NewState(self, rand.New(rand.NewSource(1)))
+	s.Apply(now, Arranged(o))
+	s.Apply(now, Adopted("", first))
+	s.Apply(now, Adopted("", second))
+	is.Equal(len(s.Apply(now, Requested(peer, first))), 0)
+	pushed := false
+	for _, a := range s.Apply(now, Adopted("", third)) {
+		if a.Peer() == peer {
+			pushed = true
+			is.Equal(a.Kind(), ActionPush)
+			is.Equal(a.From(), second)
+		}
+	}
+	is.True(pushed)
+}
--- a/basilliftd/run.go
+++ b/basilliftd/run.go
@@ -60,7 +60,7 @@
 	d.start(func() error { return d.proxy.Run(serving) })
 	d.start(func() error { return d.admin.Run(admin) })
 	d.start(func() error { d.notices.Run(serving); return nil })
-	d.start(func() error { d.poller.Run(serving); return nil })
+	d.start(func() error { d.pollWhenReady(serving); return nil })
 	d.log.Event(bllog.Started()).Str("domain", string(d.settings.Place().FailureDomain())).Send()
 	select {
 	case <-ctx.Done():
@@ -69,6 +69,24 @@
 	return errors.Join(err, d.stop(cancel))
 }
 
+// readyPause is the pause between two looks whether a version is in force.
+const readyPause = 10 * time.Millisecond
+
+// pollWhenReady keeps the target starting until the daemon holds a version. A
+// target that is announced as ready before would refuse the calls it attracts.
+func (d *daemon) pollWhenReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPause)
+	defer ticker.Stop()
+	for !d.node.Ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	d.poller.Run(ctx)
+}
+
 // start runs one duty of the daemon.
 func (d *daemon) start(run func() error) {
 	d.tasks.Go(func() {
