blplatform: conditional reads, so that unchanged lists are not transferred again

A mod that a restored store gives twice was never seen. Change: ETag and If-None-Match; an unchanged value is answered by 304. The tag stands for content, so a repeated mod with other content is read; the watcher compares content too. The stand-in platform answers in this way.

--- a/basillift/blnode/reader.go
+++ b/basillift/blnode/reader.go
@@ -1,6 +1,7 @@
 package blnode
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -190,14 +191,16 @@
 func (w *watcher) loop(ctx context.Context) {
 	defer w.reader.node.tasks.Done()
 	mod := uint64(0)
+	var last []byte
 	for {
 		v, err := w.reader.node.platform.Watch(ctx, w.key, mod)
 		if ctx.Err() != nil {
 			return
 		}
 		advice := w.judge(time.Now(), v, err)
-		if err == nil && v.Mod() != mod {
-			mod = v.Mod()
+		// A store that was restored from a backup may give a mod a second time.
+		if err == nil && (v.Mod() != mod || !bytes.Equal(v.Data(), last)) {
+			mod, last = v.Mod(), v.Data()
 			w.pass(ctx, v)
 		}
 		if advice.Wait() > 0 && !pause(ctx, advice.Wait()) {
--- a/basillift/blplatform/client.go
+++ b/basillift/blplatform/client.go
@@ -44,6 +44,7 @@
 	client  *http.Client
 	wait    time.Duration
 	timeout time.Duration
+	cache   *cache
 }
 
 var _ basillift.Platform = (*Client)(nil)
@@ -76,6 +77,7 @@
 		client:  &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		wait:    defaultWait,
 		timeout: defaultTimeout,
+		cache:   newCache(),
 	}
 	for _, o := range options {
 		o(c)
@@ -124,20 +126,26 @@
 	if err != nil {
 		return basillift.Value{}, fmt.Errorf("make request: %w", err)
 	}
+	last := c.cache.last(key)
+	if last.tag != "" {
+		request.Header.Set("If-None-Match", last.tag)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return basillift.Value{}, fmt.Errorf("%w: %w", basillift.ErrUnavailable, err)
 	}
-	value, err := readValue(key, response)
+	value, err := c.readValue(key, last, response)
 	if closeErr := response.Body.Close(); err == nil && closeErr != nil {
 		err = fmt.Errorf("%w: %w", basillift.ErrUnavailable, closeErr)
 	}
 	return value, err
 }
 
-func readValue(key string, r *http.Response) (basillift.Value, error) {
+// readValue reads an answer. An entity tag stands for content, not for a mod:
+// after a restore from a backup the platform may give a mod a second time.
+func (c *Client) readValue(key string, last cached, r *http.Response) (basillift.Value, error) {
 	switch r.StatusCode {
-	case http.StatusOK, http.StatusNotFound:
+	case http.StatusOK, http.StatusNotFound, http.StatusNotModified:
 	case http.StatusTooManyRequests:
 		return basillift.Value{}, fmt.Errorf("%w: %w", basillift.ErrUnavailable, ErrBudget)
 	case http.StatusServiceUnavailable:
@@ -159,11 +167,19 @@
 	if mod == 0 || mod > store {
 		return basillift.Value{}, fmt.Errorf("mod %d at store revision %d: %w", mod, store, ErrProtocol)
 	}
+	if r.StatusCode == http.StatusNotModified {
+		if last.tag == "" {
+			return basillift.Value{}, fmt.Errorf("not modified, but no value is known: %w", ErrProtocol)
+		}
+		return basillift.NewValue(key, last.data, mod, store), nil
+	}
 	data, err := body(r)
 	if err != nil {
 		return basillift.Value{}, fmt.Errorf("read body: %w", err)
 	}
-	return basillift.NewValue(key, data, mod, store), nil
+	value := basillift.NewValue(key, data, mod, store)
+	c.cache.put(value, r.Header.Get("ETag"))
+	return value, nil
 }
 
 // body reads one byte more than the limit, to tell a body of the limit from a larger one.
--- a/basillift/blplatform/client_test.go
+++ b/basillift/blplatform/client_test.go
@@ -131,3 +131,35 @@
 	_, err := serve(t, blocked).Watch(ctx, "plans", 3)
 	is.New(t).True(errors.Is(err, context.Canceled))
 }
+
+// Guards against an unchanged value that is transferred again, against a changed one that is
+// taken for unchanged because its mod was given twice, and against a 304 for an unknown value.
+func TestConditionalRead(t *testing.T) {
+	is := is.New(t)
+	body, sent := "first", 0
+	c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderMod, "3")
+		w.Header().Set(HeaderStore, "9")
+		w.Header().Set("ETag", `"`+body+`"`)
+		if r.Header.Get("If-None-Match") == `"`+body+`"` {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		sent++
+		_, _ = w.Write([]byte(body))
+	}))
+	for range 3 {
+		v, err := c.Read(context.Background(), "plans")
+		is.NoErr(err)
+		is.Equal(string(v.Data()), "first")
+		is.Equal(v.Store(), uint64(9))
+	}
+	is.Equal(sent, 1)
+	body = "second"
+	v, err := c.Watch(context.Background(), "plans", 3)
+	is.NoErr(err)
+	is.Equal(string(v.Data()), "second")
+	other := serve(t, answer{status: 304, mod: "3", store: "9"})
+	_, err = other.Read(context.Background(), "plans")
+	is.True(errors.Is(err, ErrProtocol))
+}
--- a/basillift/blplatform/doc.go
+++ b/basillift/blplatform/doc.go
@@ -9,7 +9,10 @@
 //
 // The answer is 200 with the value as body and the decimal headers Platform-Mod
 // and Platform-Store; 404 for a key without a value, with Platform-Store; 429
-// when the read budget of all readers is exhausted; 503 in an outage. A key
+// when the read budget of all readers is exhausted; 503 in an outage. With an
+// ETag in its answers the platform may answer a request whose If-None-Match has
+// the tag of the value by 304, with both headers and no body: an idle watch and a
+// read of an unchanged list or part then cost no transfer of the value. A key
 // without a value has mod 0. Keys hold only letters, digits, dots and hyphens;
 // a body holds at most 1 MB.
 //
--- a/basilliftlab/labplatform/read.go
+++ b/basilliftlab/labplatform/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"strconv"
 	"time"
@@ -72,7 +73,7 @@
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	p.reply(w, a)
+	p.reply(w, r, a)
 }
 
 // admit counts a call and takes it from the budget.
@@ -154,13 +155,20 @@
 	return answer{data: data, mod: mod, store: view}, true
 }
 
-func (p *Platform) reply(w http.ResponseWriter, a answer) {
+// reply sends the value, or 304 when the reader already has its content.
+func (p *Platform) reply(w http.ResponseWriter, r *http.Request, a answer) {
 	w.Header().Set(HeaderStore, strconv.FormatUint(a.store, 10))
 	if a.mod == 0 {
 		http.Error(w, "no such key", http.StatusNotFound)
 		return
 	}
 	w.Header().Set(HeaderMod, strconv.FormatUint(a.mod, 10))
+	tag := entityTag(a.data)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.data)))
 	n, _ := w.Write(a.data)
@@ -169,6 +177,13 @@
 	p.stats.Bytes += uint64(n)
 }
 
+// entityTag is a hash of the content, so that a mod that is given twice does not hide a change.
+func entityTag(data []byte) string {
+	h := fnv.New64a()
+	_, _ = h.Write(data)
+	return strconv.Quote(strconv.FormatUint(h.Sum64(), 16))
+}
+
 func (p *Platform) countFailed() {
 	p.lock.Lock()
 	defer p.lock.Unlock()
