--- a/basillift/blproxy/doc.go
+++ b/basillift/blproxy/doc.go
@@ -25,3 +25,5 @@
 // Drain refuses new calls from other daemons as "not-run", waits for the calls
 // in flight and reports how many it had to cut when ctx ended first.
 package blproxy
+
+//go:generate go -C ../../tools tool go-jsonschema --only-models --tags json -p blproxy -o ../basillift/blproxy/messages_gen.go ../schema/calls.json
--- a/basillift/blproxy/guard.go
+++ b/basillift/blproxy/guard.go
@@ -193,26 +193,16 @@
 
 func hex(fp blquarantine.Fingerprint) string { return strconv.FormatUint(uint64(fp), 16) }
 
-// suspicionMessage carries suspicions; fingerprints are hexadecimal, because JSON
-// numbers lose digits above 2^53.
-type suspicionMessage struct {
-	Suspicions []suspicionEntry `json:"suspicions"`
-}
-
-type suspicionEntry struct {
-	Fingerprint string `json:"fingerprint"`
-	Crashes     int    `json:"crashes"`
-	Last        int64  `json:"last"`
-}
-
 // spread tells all members. Crashes are rare, so each is told directly.
 func (p *Proxy) spread(changed []blquarantine.Suspicion) {
 	if len(changed) == 0 {
 		return
 	}
-	var m suspicionMessage
+	var m SuspicionMessage
 	for _, s := range changed {
-		m.Suspicions = append(m.Suspicions, suspicionEntry{hex(s.Fingerprint()), s.Crashes(), s.Last().UnixMilli()})
+		m.Suspicions = append(m.Suspicions, SuspicionEntry{
+			Fingerprint: hex(s.Fingerprint()), Crashes: s.Crashes(), Last: s.Last().UnixMilli(),
+		})
 	}
 	self := p.directory.Self().ID()
 	for _, s := range p.directory.Members() {
@@ -224,7 +214,7 @@
 
 // HandleSuspicion takes a "suspicion" notification of another daemon.
 func (p *Proxy) HandleSuspicion(_ context.Context, _ basillift.VMID, params json.RawMessage) (any, error) {
-	var m suspicionMessage
+	var m SuspicionMessage
 	err := json.Unmarshal(params, &m)
 	if err != nil {
 		return nil, fmt.Errorf("decode suspicion: %w", err)
--- a/basillift/blproxy/keys.go
+++ b/basillift/blproxy/keys.go
@@ -132,7 +132,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 	defer cancel()
-	var r claimResult
+	var r ClaimResult
 	err := c.proxy.peers.Call(ctx, owner, MethodClaim, c.params(), &r)
 	if err != nil {
 		c.replies <- blledger.NewReply(owner, blledger.Grant{})
--- a/basillift/blproxy/keywire.go
+++ b/basillift/blproxy/keywire.go
@@ -18,50 +18,26 @@
 	MethodRoster = "roster"
 )
 
-// claimMessage names one call's claim on a key, and in settle how the call ended.
-type claimMessage struct {
-	Customer string            `json:"customer"`
-	Service  string            `json:"service"`
-	Key      string            `json:"key"`
-	Call     string            `json:"call"`
-	Outcome  basillift.Outcome `json:"outcome,omitempty"`
-	Status   int               `json:"status,omitempty"`
-	Media    string            `json:"media,omitempty"`
-	Body     []byte            `json:"body,omitempty"`
+func (c *keyClaim) params() ClaimMessage {
+	return ClaimMessage{Customer: c.call.customer, Service: c.call.service, Key: c.call.key, Call: c.id}
 }
 
-// claimResult is an owner's reply; status, media and body belong to a stored answer.
-type claimResult struct {
-	Grant  blledger.GrantKind `json:"grant"`
-	Status int                `json:"status,omitempty"`
-	Media  string             `json:"media,omitempty"`
-	Body   []byte             `json:"body,omitempty"`
-}
-
-// rosterResult holds the VM ids of the settled owners.
-type rosterResult struct {
-	Members []basillift.VMID `json:"members"`
-}
-
-func (c *keyClaim) params() claimMessage {
-	return claimMessage{Customer: c.call.customer, Service: c.call.service, Key: c.call.key, Call: c.id}
-}
-
-func settleParams(m claimMessage, a blledger.Answer) claimMessage {
-	m.Outcome, m.Status, m.Media, m.Body = a.Outcome(), a.Status(), a.Media(), a.Body()
+func settleParams(m ClaimMessage, a blledger.Answer) ClaimMessage {
+	m.Outcome, m.Status, m.Media, m.Body = string(a.Outcome()), a.Status(), a.Media(), a.Body()
 	return m
 }
 
 // grant takes an unknown kind as no grant.
-func (r claimResult) grant() blledger.Grant {
-	if r.Grant != blledger.GrantAnswered {
-		return blledger.NewGrant(r.Grant, blledger.Answer{})
+func (r ClaimResult) grant() blledger.Grant {
+	kind := blledger.GrantKind(r.Grant)
+	if kind != blledger.GrantAnswered {
+		return blledger.NewGrant(kind, blledger.Answer{})
 	}
-	return blledger.NewGrant(r.Grant, blledger.Done(r.Status, r.Media, r.Body))
+	return blledger.NewGrant(kind, blledger.Done(r.Status, r.Media, r.Body))
 }
 
-func (m claimMessage) answer() blledger.Answer {
-	switch m.Outcome {
+func (m ClaimMessage) answer() blledger.Answer {
+	switch basillift.Outcome(m.Outcome) {
 	case basillift.OutcomeDone:
 		return blledger.Done(m.Status, m.Media, m.Body)
 	case basillift.OutcomeNotRun:
@@ -71,8 +47,8 @@
 	}
 }
 
-func decodeClaim(params json.RawMessage) (claimMessage, error) {
-	var m claimMessage
+func decodeClaim(params json.RawMessage) (ClaimMessage, error) {
+	var m ClaimMessage
 	err := json.Unmarshal(params, &m)
 	if err != nil {
 		return m, fmt.Errorf("decode claim: %w", err)
@@ -91,7 +67,7 @@
 	}
 	g := p.keeper.claim(time.Now(), blledger.NewKey(m.Customer, m.Service, m.Key), m.Call)
 	a := g.Answer()
-	return claimResult{Grant: g.Kind(), Status: a.Status(), Media: a.Media(), Body: a.Body()}, nil
+	return ClaimResult{Grant: string(g.Kind()), Status: a.Status(), Media: a.Media(), Body: a.Body()}, nil
 }
 
 // HandleSettle takes a "settle" notification of another daemon.
@@ -104,9 +80,21 @@
 	return nil, nil
 }
 
+func (r RosterResult) members() []basillift.VMID {
+	members := make([]basillift.VMID, 0, len(r.Members))
+	for _, name := range r.Members {
+		members = append(members, basillift.VMID(name))
+	}
+	return members
+}
+
 // HandleRoster answers a "roster" call of a daemon that has just started.
 func (p *Proxy) HandleRoster(context.Context, basillift.VMID, json.RawMessage) (any, error) {
-	return rosterResult{Members: p.keeper.snapshot()}, nil
+	r := RosterResult{Members: []string{}}
+	for _, id := range p.keeper.snapshot() {
+		r.Members = append(r.Members, string(id))
+	}
+	return r, nil
 }
 
 // rosterPeers is how many peers a starting daemon asks for their roster.
@@ -119,10 +107,10 @@
 		if s.Member().ID() == self || s.Liveness() != basillift.LivenessAlive {
 			continue
 		}
-		var r rosterResult
+		var r RosterResult
 		err := p.callPeer(ctx, s.Member().ID(), &r)
 		if err == nil && len(r.Members) > 0 {
-			p.keeper.seed(r.Members)
+			p.keeper.seed(r.members())
 			return
 		}
 		asked++
--- a/basillift/blproxy/quota.go
+++ b/basillift/blproxy/quota.go
@@ -173,12 +173,14 @@
 
 // askOwner leaves the shares as they are if the owner cannot be reached.
 func (p *Proxy) askOwner(owner basillift.VMID, demands []bladmit.Demand) {
-	var m quotaMessage
+	var m QuotaMessage
 	for _, d := range demands {
-		m.Demands = append(m.Demands, quotaDemand{d.Customer(), d.Rate(), d.Concurrency(), d.Running()})
+		m.Demands = append(m.Demands, QuotaDemand{
+			Customer: d.Customer(), Rate: d.Rate(), Concurrency: d.Concurrency(), Running: d.Running(),
+		})
 	}
 	sent := time.Now()
-	var r quotaResult
+	var r QuotaResult
 	if owner == p.directory.Self().ID() {
 		r = p.divide(sent, owner, m)
 	} else {
@@ -196,8 +198,8 @@
 }
 
 // divide answers demands by the plans in force here.
-func (p *Proxy) divide(now time.Time, from basillift.VMID, m quotaMessage) quotaResult {
-	var r quotaResult
+func (p *Proxy) divide(now time.Time, from basillift.VMID, m QuotaMessage) QuotaResult {
+	var r QuotaResult
 	c, ok := p.source.Current()
 	if !ok {
 		return r
@@ -209,37 +211,14 @@
 			continue
 		}
 		s := p.quota.grant(now, from, bladmit.NewDemand(d.Customer, d.Rate, d.Concurrency, d.Running), plan, t)
-		r.Shares = append(r.Shares, quotaShare{d.Customer, s.Rate(), s.Concurrency()})
+		r.Shares = append(r.Shares, QuotaShare{Customer: d.Customer, Rate: s.Rate(), Concurrency: s.Concurrency()})
 	}
 	return r
 }
 
-// quotaMessage reports what a daemon's callers asked for.
-type quotaMessage struct {
-	Demands []quotaDemand `json:"demands"`
-}
-
-type quotaDemand struct {
-	Customer    string  `json:"customer"`
-	Rate        float64 `json:"rate"`
-	Concurrency int     `json:"concurrency"`
-	Running     int     `json:"running"`
-}
-
-// quotaResult holds a share for each demand of a known customer.
-type quotaResult struct {
-	Shares []quotaShare `json:"shares"`
-}
-
-type quotaShare struct {
-	Customer    string  `json:"customer"`
-	Rate        float64 `json:"rate"`
-	Concurrency float64 `json:"concurrency"`
-}
-
 // HandleQuota answers a "quota" call of another daemon.
 func (p *Proxy) HandleQuota(_ context.Context, from basillift.VMID, params json.RawMessage) (any, error) {
-	var m quotaMessage
+	var m QuotaMessage
 	err := json.Unmarshal(params, &m)
 	if err != nil {
 		return nil, fmt.Errorf("decode quota: %w", err)
