--- a/basillift/blnode/reader.go
+++ b/basillift/blnode/reader.go
@@ -187,9 +187,9 @@
 	n.record(basillift.NewEvent(now, basillift.EventVersionRefused).WithVersion(v, 0).WithKey(key).WithDetail(problem))
 }
 
-// forgive forgets a refusal once a version that is not older than the refused one is held. The
+// clearRefusal ends a refusal once a version that is not older than the refused one is held. The
 // epoch of a list that cannot be read is unknown, so that the revisions decide then.
-func (n *Node) forgive(held basillift.Version) {
+func (n *Node) clearRefusal(held basillift.Version) {
 	refused := n.refused.version
 	if held.Revision() >= refused.Revision() || held.Epoch() > refused.Epoch() && refused.Epoch() > 0 {
 		n.refused = refusal{}
--- a/basillift/blnode/relay.go
+++ b/basillift/blnode/relay.go
@@ -181,7 +181,7 @@
 // adopted puts the held version in force and passes it on.
 func (n *Node) adopted(now time.Time, peer basillift.VMID) {
 	n.enforce(now)
-	n.forgive(n.holder.Version())
+	n.clearRefusal(n.holder.Version())
 	n.publishAnswers()
 	if n.reader != nil {
 		n.reader.adopted(n.holder.Version())
--- a/basillift/blproxy/caller.go
+++ b/basillift/blproxy/caller.go
@@ -83,9 +83,9 @@
 	}
 	defer b.release()
 	if k.key == "" {
-		r = p.travel(ctx, k, b, now)
+		r = p.send(ctx, k, b, now)
 	} else {
-		r = p.claimed(ctx, k, now, func() *refusal { return p.travel(ctx, k, b, time.Now()) })
+		r = p.claimed(ctx, k, now, func() *refusal { return p.send(ctx, k, b, time.Now()) })
 	}
 	if r == nil {
 		p.finishAnswered(ctx, k, basillift.EventCallAnswered, &p.metrics.caller)
@@ -93,17 +93,17 @@
 	return r
 }
 
-// travel sends the request to targets until one answers.
-func (p *Proxy) travel(ctx *fasthttp.RequestCtx, k *call, b *body, now time.Time) *refusal {
+// send sends the request to targets until one answers.
+func (p *Proxy) send(ctx *fasthttp.RequestCtx, k *call, b *body, now time.Time) *refusal {
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
-	t := &trip{proxy: p, ctx: ctx, call: k, out: out, body: b}
+	t := &dispatch{proxy: p, ctx: ctx, call: k, out: out, body: b}
 	t.fill(out)
 	return t.run(now)
 }
 
 // fill makes the request for a target's daemon.
-func (t *trip) fill(out *fasthttp.Request) {
+func (t *dispatch) fill(out *fasthttp.Request) {
 	t.call.prepare(t.ctx, out)
 	out.Header.Set(HeaderDepth, strconv.Itoa(t.call.depth+1))
 	out.Header.Set(HeaderVersion, t.call.version.String())
--- a/basillift/blproxy/trip.go
+++ b/basillift/blproxy/dispatch.go
@@ -14,8 +14,8 @@
 // mostTries is the first attempt and the two further ones that blretry allows.
 const mostTries = 3
 
-// trip is the way of one call through the caller side: its attempts at targets.
-type trip struct {
+// dispatch sends one call to targets: its attempts, and what they tell about the call.
+type dispatch struct {
 	proxy  *Proxy
 	ctx    *fasthttp.RequestCtx
 	call   *call
@@ -30,7 +30,7 @@
 }
 
 // run sends the request until there is a response, or a failure that is final.
-func (t *trip) run(now time.Time) *refusal {
+func (t *dispatch) run(now time.Time) *refusal {
 	t.proxy.routes.called(now, t.call.service)
 	reason := t.choose(now)
 	if reason != basillift.ReasonNone {
@@ -39,7 +39,7 @@
 	for number := 0; ; number++ {
 		if !t.admitted(now) {
 			t.proxy.routes.finished(now, t.member.ID(), blroute.ResultOK)
-			return t.truthful(quarantined())
+			return t.wholeCall(quarantined())
 		}
 		failed, answered := t.attempt(now)
 		if failed == nil {
@@ -57,12 +57,12 @@
 		if answered && (!t.mayHaveRun || failed.outcome == basillift.OutcomeUnknown) {
 			return nil
 		}
-		return t.truthful(failed.refusal())
+		return t.wholeCall(failed.refusal())
 	}
 }
 
-// truthful turns a refusal of the last attempt into that of the whole call.
-func (t *trip) truthful(r *refusal) *refusal {
+// wholeCall turns a refusal of the last attempt into that of the whole call.
+func (t *dispatch) wholeCall(r *refusal) *refusal {
 	if t.mayHaveRun && r.outcome == basillift.OutcomeNotRun {
 		return refuse(basillift.OutcomeUnknown, r.reason, "An earlier attempt may have run.")
 	}
@@ -71,7 +71,7 @@
 
 // admitted waits until suspicions have spread if the request just broke a target,
 // and reports whether it may run.
-func (t *trip) admitted(now time.Time) bool {
+func (t *dispatch) admitted(now time.Time) bool {
 	g := t.proxy.guard
 	if !g.active.Load() {
 		return true
@@ -84,7 +84,7 @@
 	return verdict != blquarantine.VerdictQuarantined
 }
 
-func (t *trip) choose(now time.Time) basillift.Reason {
+func (t *dispatch) choose(now time.Time) basillift.Reason {
 	if t.count == mostTries {
 		return basillift.ReasonNoTarget
 	}
@@ -101,7 +101,7 @@
 
 // attempt sends the request to the chosen target's daemon. Answered means that
 // the response holds a refusal of that daemon or of its target.
-func (t *trip) attempt(now time.Time) (failed *failure, answered bool) {
+func (t *dispatch) attempt(now time.Time) (failed *failure, answered bool) {
 	p, k := t.proxy, t.call
 	p.recordCall(now, k, basillift.EventCallRouted, t.member.ID())
 	if !k.setTimeout(now, t.out) {
@@ -132,7 +132,7 @@
 }
 
 // finish tells the chooser how the attempt ended, at the end of the response's body.
-func (t *trip) finish(failed *failure) {
+func (t *dispatch) finish(failed *failure) {
 	routes, id := t.proxy.routes, t.member.ID()
 	result := resultOf(failed, t.ctx.Response.StatusCode())
 	stream, ok := t.ctx.Response.BodyStream().(*relay)
@@ -185,7 +185,7 @@
 }
 
 // again waits and chooses another target if the request may be sent once more.
-func (t *trip) again(now time.Time, number int, f *failure) bool {
+func (t *dispatch) again(now time.Time, number int, f *failure) bool {
 	k := t.call
 	reason := f.reason
 	if reason == basillift.ReasonTruncated && t.body.failed == nil {
--- a/basillift/blproxy/hedge.go
+++ b/basillift/blproxy/hedge.go
@@ -13,9 +13,9 @@
 // hedge is a second copy of a slow call, sent to another target. The first
 // complete answer counts; the connection of the other copy is closed.
 type hedge struct {
-	trip    *trip
-	started time.Time
-	timer   *time.Timer
+	dispatch *dispatch
+	started  time.Time
+	timer    *time.Timer
 	// done is closed at the end of run, which may use the caller's request until then.
 	done chan struct{}
 
@@ -29,7 +29,7 @@
 
 // newHedge returns nil for calls that may not run twice, and while too few calls
 // have ended to tell which one is slow.
-func (t *trip) newHedge(now time.Time) *hedge {
+func (t *dispatch) newHedge(now time.Time) *hedge {
 	k := t.call
 	if k.depth > 0 || k.key != "" || !t.body.whole() || !blretry.Idempotent(k.method) {
 		return nil
@@ -38,7 +38,7 @@
 	if !known {
 		return nil
 	}
-	h := &hedge{trip: t, started: now, done: make(chan struct{})}
+	h := &hedge{dispatch: t, started: now, done: make(chan struct{})}
 	h.timer = time.AfterFunc(delay, h.run)
 	return h
 }
@@ -46,7 +46,7 @@
 // run sends the copy if the budget and the targets allow it.
 func (h *hedge) run() {
 	defer close(h.done)
-	t, now := h.trip, time.Now()
+	t, now := h.dispatch, time.Now()
 	if !h.prepare(now) {
 		return
 	}
@@ -77,7 +77,7 @@
 func (h *hedge) prepare(now time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	t := h.trip
+	t := h.dispatch
 	if h.stopped || !t.proxy.routes.hedge(now, t.call.service, now.Sub(h.started)) {
 		return false
 	}
@@ -117,7 +117,7 @@
 		return true
 	}
 	h.stopped = true
-	h.trip.call.closeOthers(first.conn)
+	h.dispatch.call.closeOthers(first.conn)
 	return false
 }
 
--- a/basillift/blproxy/keys.go
+++ b/basillift/blproxy/keys.go
@@ -22,8 +22,8 @@
 	rosterLeast = 2
 )
 
-// keeper is this daemon's part of the ledger: the keys that it owns, and its list of owners.
-type keeper struct {
+// keyLedger is this daemon's part of the ledger: the keys that it owns, and its list of owners.
+type keyLedger struct {
 	mutex      sync.Mutex
 	book       *blledger.Book
 	roster     *blledger.Roster
@@ -31,13 +31,13 @@
 	stableFrom time.Time
 }
 
-func newKeeper(self basillift.Member) *keeper {
+func newKeyLedger(self basillift.Member) *keyLedger {
 	started := time.UnixMilli(int64(self.Incarnation()))
-	return &keeper{book: blledger.NewBook(started)}
+	return &keyLedger{book: blledger.NewBook(started)}
 }
 
 // observe keeps the roster current; it must be called each second.
-func (k *keeper) observe(now time.Time, d basillift.Directory) {
+func (k *keyLedger) observe(now time.Time, d basillift.Directory) {
 	members, generation := d.Members(), d.Generation()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -56,7 +56,7 @@
 }
 
 // seed takes a peer's roster, unless there is one already.
-func (k *keeper) seed(members []basillift.VMID) {
+func (k *keyLedger) seed(members []basillift.VMID) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.roster == nil && len(members) >= rosterLeast {
@@ -64,7 +64,7 @@
 	}
 }
 
-func (k *keeper) snapshot() []basillift.VMID {
+func (k *keyLedger) snapshot() []basillift.VMID {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.roster == nil {
@@ -74,7 +74,7 @@
 }
 
 // owners returns no sets while there is no roster; no claim has a quorum then.
-func (k *keeper) owners(key blledger.Key) blledger.OwnerSets {
+func (k *keyLedger) owners(key blledger.Key) blledger.OwnerSets {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.roster == nil {
@@ -83,13 +83,13 @@
 	return k.roster.Owners(key)
 }
 
-func (k *keeper) claim(now time.Time, key blledger.Key, id string) blledger.Grant {
+func (k *keyLedger) claim(now time.Time, key blledger.Key, id string) blledger.Grant {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.book.Claim(now, key, id)
 }
 
-func (k *keeper) settle(now time.Time, key blledger.Key, id string, a blledger.Answer) {
+func (k *keyLedger) settle(now time.Time, key blledger.Key, id string, a blledger.Answer) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.book.Settle(now, key, id, a)
@@ -114,7 +114,7 @@
 func (p *Proxy) claimKey(now time.Time, k *call) (*keyClaim, blledger.Ruling) {
 	c := &keyClaim{proxy: p, call: k, id: p.callID(p.directory.Self())}
 	c.key = blledger.NewKey(k.customer, k.service, k.key)
-	c.owners = p.keeper.owners(c.key)
+	c.owners = p.keys.owners(c.key)
 	all := c.owners.All()
 	c.asked = len(all)
 	c.replies = make(chan blledger.Reply, len(all))
@@ -127,7 +127,7 @@
 // ask gets one owner's reply. An owner that cannot be reached gives none.
 func (c *keyClaim) ask(owner basillift.VMID) {
 	if owner == c.proxy.directory.Self().ID() {
-		c.replies <- blledger.NewReply(owner, c.proxy.keeper.claim(time.Now(), c.key, c.id))
+		c.replies <- blledger.NewReply(owner, c.proxy.keys.claim(time.Now(), c.key, c.id))
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
@@ -173,7 +173,7 @@
 	}
 	for _, owner := range c.owners.All() {
 		if owner == c.proxy.directory.Self().ID() {
-			c.proxy.keeper.settle(time.Now(), c.key, c.id, c.answer)
+			c.proxy.keys.settle(time.Now(), c.key, c.id, c.answer)
 			continue
 		}
 		c.proxy.peers.Notify(owner, MethodSettle, settleParams(c.params(), c.answer))
--- a/basillift/blproxy/keys_test.go
+++ b/basillift/blproxy/keys_test.go
@@ -24,7 +24,7 @@
 	link(t, owners...)
 	for _, o := range owners {
 		o.knows(owners[0])
-		o.keeper.seed([]basillift.VMID{"vm-a", "vm-b", "vm-c"})
+		o.keys.seed([]basillift.VMID{"vm-a", "vm-b", "vm-c"})
 	}
 	return owners
 }
@@ -35,8 +35,8 @@
 	key := blledger.NewKey("kobuleti", "catalogue", "k1")
 	for _, o := range owners {
 		eventually(t, func() bool {
-			kind := o.keeper.claim(time.Now(), key, "probe").Kind()
-			o.keeper.settle(time.Now(), key, "probe", blledger.NotRun())
+			kind := o.keys.claim(time.Now(), key, "probe").Kind()
+			o.keys.settle(time.Now(), key, "probe", blledger.NotRun())
 			return kind != blledger.GrantRunning
 		})
 	}
@@ -119,5 +119,5 @@
 	late.knows(owners...)
 	link(t, append(owners, late)...)
 	late.askRoster(t.Context())
-	is.New(t).Equal(late.keeper.snapshot(), []basillift.VMID{"vm-a", "vm-b", "vm-c"})
+	is.New(t).Equal(late.keys.snapshot(), []basillift.VMID{"vm-a", "vm-b", "vm-c"})
 }
--- a/basillift/blproxy/keywire.go
+++ b/basillift/blproxy/keywire.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := p.keeper.claim(time.Now(), blledger.NewKey(m.Customer, m.Service, m.Key), m.Call)
+	g := p.keys.claim(time.Now(), blledger.NewKey(m.Customer, m.Service, m.Key), m.Call)
 	a := g.Answer()
 	return ClaimResult{Grant: string(g.Kind()), Status: a.Status(), Media: a.Media(), Body: a.Body()}, nil
 }
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.keeper.settle(time.Now(), blledger.NewKey(m.Customer, m.Service, m.Key), m.Call, m.answer())
+	p.keys.settle(time.Now(), blledger.NewKey(m.Customer, m.Service, m.Key), m.Call, m.answer())
 	return nil, nil
 }
 
@@ -91,7 +91,7 @@
 // HandleRoster answers a "roster" call of a daemon that has just started.
 func (p *Proxy) HandleRoster(context.Context, basillift.VMID, json.RawMessage) (any, error) {
 	r := RosterResult{Members: []string{}}
-	for _, id := range p.keeper.snapshot() {
+	for _, id := range p.keys.snapshot() {
 		r.Members = append(r.Members, string(id))
 	}
 	return r, nil
@@ -110,7 +110,7 @@
 		var r RosterResult
 		err := p.callPeer(ctx, s.Member().ID(), &r)
 		if err == nil && len(r.Members) > 0 {
-			p.keeper.seed(r.members())
+			p.keys.seed(r.members())
 			return
 		}
 		asked++
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -32,7 +32,7 @@
 	pools    *pools
 	routes   *routes
 	gate     *gate
-	keeper   *keeper
+	keys     *keyLedger
 	guard    *guard
 	quota    *quota
 	metrics  *counters
@@ -72,7 +72,7 @@
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
 		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
-		keeper: newKeeper(directory.Self()), guard: newGuard(), quota: newQuota(s.domains),
+		keys: newKeyLedger(directory.Self()), guard: newGuard(), quota: newQuota(s.domains),
 		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
 	p.metrics = newCounters(p)
@@ -186,10 +186,10 @@
 
 // observeRoster keeps the list of key owners current. A daemon without one asks its peers first.
 func (p *Proxy) observeRoster(ctx context.Context, now time.Time) {
-	if p.keeper.snapshot() == nil {
+	if p.keys.snapshot() == nil {
 		p.askRoster(ctx)
 	}
-	p.keeper.observe(now, p.directory)
+	p.keys.observe(now, p.directory)
 }
 
 // stop closes everything; calls in flight are canceled first.
--- a/basilliftlab/labcapacity/causes.go
+++ b/basilliftlab/labcapacity/causes.go
@@ -4,6 +4,7 @@
 // docs/measurements.md.
 func (p *page) causes() {
 	p.printf("## Causes of what is missed or close\n\n")
+	before := p.text.Len()
 	if p.value(overDaemons, "change.one.ratio") > boundRatio {
 		p.printf(`- One-customer change above %.1f times its delta: a push costs 1.07 times the delta, and a tree neighbour that does not
   hold the version from which the push starts gets it in two more messages, a fetch and its answer.
@@ -33,5 +34,8 @@
   a burst. A head that is asked for a delta from a version that it skipped sends the full snapshot.
 `)
 	}
+	if p.text.Len() == before {
+		p.printf("Nothing is missed in these runs.\n")
+	}
 	p.printf("\n")
 }
