--- a/basillift/blnode/greet.go
+++ b/basillift/blnode/greet.go
@@ -10,6 +10,7 @@
 	"basillift.dev/basillift/bllist"
 	"basillift.dev/basillift/blmember"
 	"basillift.dev/basillift/blrpc"
+	"basillift.dev/basillift/common/blwait"
 )
 
 const (
@@ -50,7 +51,7 @@
 		if !g.node.joined(ctx) {
 			wait = greetFirst
 		}
-		if !pause(ctx, wait/2+time.Duration(g.random.Int63n(int64(wait)))) {
+		if !blwait.For(ctx, wait/2+time.Duration(g.random.Int63n(int64(wait)))) {
 			return
 		}
 	}
--- a/basillift/blnode/node.go
+++ b/basillift/blnode/node.go
@@ -19,6 +19,7 @@
 	"basillift.dev/basillift/blrelay"
 	"basillift.dev/basillift/blrpc"
 	"basillift.dev/basillift/common/blring"
+	"basillift.dev/basillift/common/blwait"
 )
 
 const (
@@ -235,7 +236,7 @@
 	n.record(basillift.NewEvent(time.Now(), basillift.EventStopping))
 	n.SetState(basillift.TargetGone)
 	for n.board.Self().State() != basillift.TargetGone || n.pool.Pending() > 0 {
-		if !pause(ctx, 5*time.Millisecond) {
+		if !blwait.For(ctx, 5*time.Millisecond) {
 			return fmt.Errorf("leave with %d messages unsent: %w", n.pool.Pending(), ctx.Err())
 		}
 	}
@@ -260,14 +261,3 @@
 	}
 	return v, nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/basillift/blnode/reader.go
+++ b/basillift/blnode/reader.go
@@ -15,6 +15,7 @@
 	"basillift.dev/basillift/blmember"
 	"basillift.dev/basillift/blplatform"
 	"basillift.dev/basillift/common/blring"
+	"basillift.dev/basillift/common/blwait"
 )
 
 // platformSize is the number of watched values that wait for the reader; a full ring
@@ -143,7 +144,7 @@
 		w.mutex.Lock()
 		wait := w.health.Failed(time.Now(), err).Wait()
 		w.mutex.Unlock()
-		pause(ctx, wait)
+		blwait.For(ctx, wait)
 		return false
 	}
 	s, err := r.build(cut)
@@ -212,7 +213,7 @@
 			mod, last = v.Mod(), v.Data()
 			w.pass(ctx, v)
 		}
-		if advice.Wait() > 0 && !pause(ctx, advice.Wait()) {
+		if advice.Wait() > 0 && !blwait.For(ctx, advice.Wait()) {
 			return
 		}
 	}
--- a/basillift/blrpc/pool.go
+++ b/basillift/blrpc/pool.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/common/blwait"
 )
 
 const (
@@ -139,7 +140,7 @@
 		}
 		if err != nil {
 			// Accept fails for want of file descriptors; accepting again at once would spin.
-			if !pause(ctx, 100*time.Millisecond) {
+			if !blwait.For(ctx, 100*time.Millisecond) {
 				return
 			}
 			continue
@@ -234,7 +235,7 @@
 
 func (p *Pool) sweepLoop(ctx context.Context) {
 	defer p.tasks.Done()
-	for pause(ctx, sweepInterval) {
+	for blwait.For(ctx, sweepInterval) {
 		p.sweep(p.clock())
 	}
 }
@@ -349,15 +350,3 @@
 	defer p.mutex.Unlock()
 	return base/2 + time.Duration(p.random.Int63n(int64(base)))
 }
-
-// pause waits and reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
