blnode, blrpc: drop the unused ids of open notices from hello and probe

Cause: notices are reported to the notifier by condition, so nothing set or read the field matters. Change: removed from schema, messages and node. Measured: tests of both packages pass.

--- a/basillift/blnode/loop.go
+++ b/basillift/blnode/loop.go
@@ -108,12 +108,11 @@
 	version := n.holder.Version()
 	n.held.Store(&version)
 	digest := formatDigest(n.heldDigest())
-	matters := *n.matters.Load()
 	n.hello.Store(&blrpc.Hello{
-		Record: encodeMember(n.members.Self()), Version: version.String(), Digest: digest, Matters: matters,
+		Record: encodeMember(n.members.Self()), Version: version.String(), Digest: digest,
 	})
 	n.probe.Store(&blrpc.Probe{
-		Version: version.String(), Digest: digest, Records: encodeDigests(n.members.Digests()), Matters: matters,
+		Version: version.String(), Digest: digest, Records: encodeDigests(n.members.Digests()),
 	})
 }
 
--- a/basillift/blnode/node.go
+++ b/basillift/blnode/node.go
@@ -56,7 +56,6 @@
 	ready   atomic.Bool
 	reading atomic.Bool
 	status  atomic.Pointer[Status]
-	matters atomic.Pointer[[]string]
 	listed  atomic.Pointer[[]string]
 
 	transfers limiter
@@ -121,7 +120,6 @@
 	state := self.State()
 	n.state.Store(&state)
 	n.held.Store(&basillift.Version{})
-	n.matters.Store(&[]string{})
 	n.listed.Store(&[]string{})
 	n.pool = blrpc.NewPool(self.ID(), n, n.address, n.random.Int63())
 	n.register()
@@ -228,9 +226,6 @@
 	n.offer(func(now time.Time) { n.distribute(now, n.relay.Apply(now, blrelay.Heard(from, v, blrelay.CauseCall))) })
 }
 
-// SetMatters sets the ids of open notices that hello and probe messages carry.
-func (n *Node) SetMatters(ids []string) { n.matters.Store(&ids) }
-
 // Leave announces that the target is gone and waits until the announcement is sent or ctx ends.
 func (n *Node) Leave(ctx context.Context) error {
 	n.record(basillift.NewEvent(time.Now(), basillift.EventStopping))
--- a/basillift/blrpc/messages_gen.go
+++ b/basillift/blrpc/messages_gen.go
@@ -79,9 +79,6 @@
 	// Digest corresponds to the JSON schema field "digest".
 	Digest string `json:"digest"`
 
-	// Matters corresponds to the JSON schema field "matters".
-	Matters []string `json:"matters,omitempty,omitzero"`
-
 	// Record corresponds to the JSON schema field "record".
 	Record Record `json:"record"`
 
@@ -103,9 +100,6 @@
 	// Digest corresponds to the JSON schema field "digest".
 	Digest string `json:"digest"`
 
-	// Matters corresponds to the JSON schema field "matters".
-	Matters []string `json:"matters,omitempty,omitzero"`
-
 	// Records corresponds to the JSON schema field "records".
 	Records []Digest `json:"records,omitempty,omitzero"`
 
