--- /dev/null
+++ b/basillift/bladmit/goalqueue.go
@@ -0,0 +1,252 @@
+package bladmit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+const (
+	// holdWeight is the share of a new observation in the mean slot time of a lane.
+	holdWeight = 1.0 / 16
+	// unknownHold is the share of its goal that a request of an unknown lane is assumed to hold a slot.
+	unknownHold = 0.25
+	// freeShare is the share of its goal that a request may wait wherever the goal cannot be kept: so little
+	// is of no consequence to a caller that has to come back.
+	freeShare = 0.125
+	// lanesMost bounds how many lanes have a mean of their own.
+	lanesMost = 4096
+)
+
+// Offer is a request that asks for a slot within a goal.
+type Offer struct {
+	id       uint64
+	lane     string
+	rank     int
+	goal     time.Time
+	deadline time.Time
+	patience time.Duration
+}
+
+// NewOffer returns an offer. Requests of one lane hold a slot for a similar time;
+// rank 0 goes first. The answer has its full value until goal and none after deadline.
+func NewOffer(id uint64, lane string, rank int, goal, deadline time.Time) Offer {
+	return Offer{id: id, lane: lane, rank: rank, goal: goal, deadline: deadline}
+}
+
+// WithObjective sets the whole time within which the caller wants its answer, of
+// which the goal is what is left.
+func (o Offer) WithObjective(d time.Duration) Offer {
+	o.patience = time.Duration(float64(d) * freeShare)
+	return o
+}
+
+// Verdict is what becomes of an offer at once.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictRun    Verdict = "run"
+	VerdictWait   Verdict = "wait"
+	VerdictRefuse Verdict = "refuse"
+)
+
+// Decision is the answer to an offer.
+type Decision struct {
+	verdict    Verdict
+	reason     basillift.Reason
+	until      time.Time
+	retryAfter time.Duration
+}
+
+// Verdict says whether to run, to wait or to refuse.
+func (d Decision) Verdict() Verdict { return d.verdict }
+
+// Reason is why the offer was refused.
+func (d Decision) Reason() basillift.Reason { return d.reason }
+
+// Until is when a waiting request is to be withdrawn and refused.
+func (d Decision) Until() time.Time { return d.until }
+
+// RetryAfter is when the target is expected to have room for a refused request.
+func (d Decision) RetryAfter() time.Duration { return d.retryAfter }
+
+// GoalQueue admits requests to one target whose slots are known exactly. It is made
+// for overload: a request waits only if it is expected to keep its goal, and is refused at once
+// otherwise, so that it can go elsewhere while there is time. Better ranks go first, and
+// within a rank the request whose goal is next. It is not safe for concurrent use.
+type GoalQueue struct {
+	slots   int
+	running map[uint64]*ticket
+	waiting []*ticket
+	lanes   map[string]*mean
+	all     mean
+	closed  basillift.Reason
+}
+
+// ticket is an offer that runs or waits.
+type ticket struct {
+	offer   Offer
+	started time.Time
+}
+
+// mean is a moving mean in seconds.
+type mean struct {
+	value float64
+	known bool
+}
+
+func (m *mean) add(v float64) {
+	if !m.known {
+		m.value, m.known = v, true
+		return
+	}
+	m.value += (v - m.value) * holdWeight
+}
+
+// NewGoalQueue returns an empty queue for a target with the given slots.
+func NewGoalQueue(slots int) *GoalQueue {
+	return &GoalQueue{slots: max(1, slots), running: make(map[uint64]*ticket), lanes: make(map[string]*mean)}
+}
+
+// Load is what to tell the daemons that send requests.
+func (q *GoalQueue) Load() basillift.Load {
+	return basillift.NewLoad(len(q.running), len(q.waiting), q.slots, seconds(q.all.value))
+}
+
+// SetSlots takes the number of slots that the target says it has and returns the
+// requests that may start.
+func (q *GoalQueue) SetSlots(now time.Time, slots int) []uint64 {
+	q.slots = max(1, slots)
+	return q.dispatch(now)
+}
+
+// Close refuses all later offers for a reason; an empty reason opens the queue again.
+func (q *GoalQueue) Close(r basillift.Reason) { q.closed = r }
+
+// Arrive takes an offer.
+func (q *GoalQueue) Arrive(now time.Time, o Offer) Decision {
+	if q.closed != basillift.ReasonNone {
+		return Decision{verdict: VerdictRefuse, reason: q.closed}
+	}
+	t := &ticket{offer: o}
+	if len(q.running) < q.slots && len(q.waiting) == 0 {
+		q.start(now, t)
+		return Decision{verdict: VerdictRun}
+	}
+	position, _ := slices.BinarySearchFunc(q.waiting, t, before)
+	wait := q.expected(position)
+	latest := q.latest(now, o)
+	if now.Add(wait).After(latest) {
+		return Decision{verdict: VerdictRefuse, reason: basillift.ReasonOverload, retryAfter: max(0, q.expected(len(q.waiting)))}
+	}
+	q.waiting = slices.Insert(q.waiting, position, t)
+	return Decision{verdict: VerdictWait, until: latest}
+}
+
+// latest is when an offer must have started: so that its goal is kept, or after the
+// wait that is of no consequence.
+func (q *GoalQueue) latest(now time.Time, o Offer) time.Time {
+	hold := seconds(q.hold(now, o))
+	latest := o.goal.Add(-hold)
+	if free := now.Add(o.patience); free.After(latest) {
+		latest = free
+	}
+	if end := o.deadline.Add(-hold); end.Before(latest) {
+		latest = end
+	}
+	return latest
+}
+
+// hold is how long an offer is expected to hold a slot, in seconds.
+func (q *GoalQueue) hold(now time.Time, o Offer) float64 {
+	if m := q.lanes[o.lane]; m != nil && m.known {
+		return m.value
+	}
+	return unknownHold * max(0, o.goal.Sub(now).Seconds())
+}
+
+// expected is the wait behind the first waiting tickets.
+func (q *GoalQueue) expected(position int) time.Duration {
+	work := q.all.value
+	for _, t := range q.waiting[:position] {
+		work += q.laneMean(t.offer.lane)
+	}
+	return seconds(work / float64(q.slots))
+}
+
+func (q *GoalQueue) laneMean(lane string) float64 {
+	if m := q.lanes[lane]; m != nil && m.known {
+		return m.value
+	}
+	return q.all.value
+}
+
+// before orders waiting tickets by rank and then by goal.
+func before(a, b *ticket) int {
+	if c := cmp.Compare(a.offer.rank, b.offer.rank); c != 0 {
+		return c
+	}
+	if c := a.offer.goal.Compare(b.offer.goal); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.offer.id, b.offer.id)
+}
+
+// Finish frees the slot of a request and returns the requests that may start.
+// Observed is false for a request that did not run to its end, whose time says nothing.
+func (q *GoalQueue) Finish(now time.Time, id uint64, observed bool) []uint64 {
+	t := q.running[id]
+	if t == nil {
+		return nil
+	}
+	delete(q.running, id)
+	if observed {
+		q.observe(t.offer.lane, now.Sub(t.started).Seconds())
+	}
+	return q.dispatch(now)
+}
+
+func (q *GoalQueue) observe(lane string, held float64) {
+	q.all.add(held)
+	m := q.lanes[lane]
+	if m == nil {
+		if len(q.lanes) >= lanesMost {
+			clear(q.lanes)
+		}
+		m = &mean{}
+		q.lanes[lane] = m
+	}
+	m.add(held)
+}
+
+// Withdraw removes a waiting request and reports whether it was still waiting, which means that it did not run.
+func (q *GoalQueue) Withdraw(id uint64) bool {
+	i := slices.IndexFunc(q.waiting, func(t *ticket) bool { return t.offer.id == id })
+	if i < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
+}
+
+// RetryAfter is when a request of the last place in the queue would start.
+func (q *GoalQueue) RetryAfter() time.Duration { return q.expected(len(q.waiting)) }
+
+func (q *GoalQueue) dispatch(now time.Time) []uint64 {
+	var started []uint64
+	for len(q.running) < q.slots && len(q.waiting) > 0 {
+		t := q.waiting[0]
+		q.waiting = slices.Delete(q.waiting, 0, 1)
+		q.start(now, t)
+		started = append(started, t.offer.id)
+	}
+	return started
+}
+
+func (q *GoalQueue) start(now time.Time, t *ticket) {
+	t.started = now
+	q.running[t.offer.id] = t
+}
--- /dev/null
+++ b/basillift/blcourier/caller.go
@@ -0,0 +1,276 @@
+package blcourier
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blplace"
+	"basillift.dev/basillift/blretry"
+)
+
+const (
+	// comeBack is the Retry-After of a daemon that cannot say better, e.g. before its first routing table.
+	comeBack = 300 * time.Millisecond
+)
+
+// callerSide takes requests from the VM's callers.
+type callerSide struct{ courier *Courier }
+
+func (s *callerSide) internal() bool { return false }
+
+func (s *callerSide) terms() terms { return s.courier.terms() }
+
+// journey is a request on its way through its attempts.
+type journey struct {
+	request  *request
+	route    *basillift.Route
+	service  string
+	hop      hop
+	tried    []string
+	soonest  time.Duration
+	attempts int
+}
+
+// serve implements handler for requests of callers.
+func (s *callerSide) serve(ctx context.Context, r *request) *answer {
+	a := s.answer(ctx, r)
+	id := r.header(s.courier.settings.dialect.RequestID())
+	if id != "" && a.header(s.courier.settings.dialect.RequestID()) == "" {
+		a.fields = append(a.fields, field{s.courier.settings.dialect.RequestID(), id})
+	}
+	return a
+}
+
+func (s *callerSide) answer(ctx context.Context, r *request) *answer {
+	c := s.courier
+	table := c.tables.Current()
+	if table == nil {
+		return notRun(basillift.ReasonNoVersion, comeBack)
+	}
+	route, found := table.Match(r.host, r.uri)
+	if !found {
+		return rejected(http.StatusNotFound, basillift.ReasonService)
+	}
+	j := s.begin(r, route)
+	ctx, cancel := context.WithDeadline(ctx, j.hop.deadline)
+	defer cancel()
+	c.allowance.Requested(r.arrived, j.service, c.fleet.Machines())
+	return s.travel(ctx, j)
+}
+
+// begin decides what is fixed for all attempts.
+func (s *callerSide) begin(r *request, route *basillift.Route) *journey {
+	timeout := route.Timeout()
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	if own, ok := r.millis(s.courier.settings.dialect.Deadline()); ok {
+		timeout = min(timeout, own)
+	}
+	objective := route.Goal()
+	if objective == 0 {
+		objective = timeout
+	}
+	return &journey{
+		request: r, route: route, service: s.courier.dealer.Deal(route),
+		hop: hop{
+			lane: route.Name(), rank: route.Priority(), repeatable: route.Kind().Repeatable(), objective: objective,
+			goal: r.arrived.Add(objective), deadline: r.arrived.Add(timeout),
+		},
+	}
+}
+
+// travel sends a request to targets until it has its final answer.
+func (s *callerSide) travel(ctx context.Context, j *journey) *answer {
+	c := s.courier
+	course := blretry.NewCourse(j.hop.repeatable, j.route.Attempts(), j.hop.deadline)
+	for {
+		a, ending := s.attempt(ctx, j)
+		now := time.Now()
+		if ctx.Err() != nil && ending != blretry.EndingAnswered {
+			a.discard()
+			return s.expired(ctx, course, ending)
+		}
+		repeat := func() bool { return c.allowance.Take(now, j.service, c.fleet.Machines()) }
+		switch course.Next(now, ending, j.request.whole(), repeat) {
+		case blretry.FollowAnswer:
+			return a
+		case blretry.FollowNotRun:
+			return notRun(a.reason, s.retryAfter(j))
+		case blretry.FollowUnknown:
+			a.discard()
+			return unknown(http.StatusBadGateway, a.reason)
+		case blretry.FollowAgain:
+			a.discard()
+		}
+	}
+}
+
+func (s *callerSide) retryAfter(j *journey) time.Duration {
+	if j.soonest > 0 {
+		return j.soonest
+	}
+	return comeBack
+}
+
+// expired is the final answer to a request whose time is over or whose caller left.
+func (s *callerSide) expired(ctx context.Context, course *blretry.Course, last blretry.Ending) *answer {
+	if course.Ran() || last.Ran() {
+		return unknown(http.StatusGatewayTimeout, basillift.ReasonDeadline)
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return notRun(basillift.ReasonCallerGone, comeBack)
+	}
+	return notRun(basillift.ReasonDeadline, comeBack)
+}
+
+// attempt sends a request to one target.
+func (s *callerSide) attempt(ctx context.Context, j *journey) (*answer, blretry.Ending) {
+	c := s.courier
+	now := time.Now()
+	target, found := c.placer.Choose(now, c.fleet.Targets(j.service), j.tried)
+	if !found {
+		reason := basillift.ReasonNoTarget
+		if len(j.tried) > 0 {
+			reason = basillift.ReasonOverload
+		}
+		return notRun(reason, 0), blretry.EndingNoTarget
+	}
+	instance := target.Endpoint().Instance()
+	j.tried = append(j.tried, instance)
+	j.attempts++
+	j.hop.instance = instance
+	c.placer.Started(now, instance)
+	a, ending := s.send(ctx, j, target)
+	c.placer.Ended(time.Now(), instance, result(ctx, ending), a.load)
+	if ending == blretry.EndingRefused && a.retryAfter > 0 && (j.soonest == 0 || a.retryAfter < j.soonest) {
+		j.soonest = a.retryAfter
+	}
+	return a, ending
+}
+
+// result is what an ending says of the target.
+func result(ctx context.Context, e blretry.Ending) blplace.Result {
+	switch {
+	case e == blretry.EndingAnswered:
+		return blplace.ResultAnswered
+	case e == blretry.EndingUnreachable:
+		return blplace.ResultUnreachable
+	case errors.Is(ctx.Err(), context.Canceled):
+		return blplace.ResultCanceled
+	case e == blretry.EndingFailed:
+		return blplace.ResultFailed
+	case e == blretry.EndingBroken:
+		return blplace.ResultBroken
+	default:
+		return blplace.ResultRefused
+	}
+}
+
+// send passes a request to the daemon beside the target, or to the VM's own target.
+func (s *callerSide) send(ctx context.Context, j *journey, t *blfleet.Target) (*answer, blretry.Ending) {
+	c := s.courier
+	if t.Endpoint().Address() == c.settings.target {
+		a := c.targets.run(ctx, s.local(j.request), j.hop)
+		return a, ending(a)
+	}
+	now := time.Now()
+	x := &exchange{
+		pool: c.pools.Of(t.Endpoint().Daemon()), request: j.request, head: s.head(j, now), deadline: j.hop.deadline,
+	}
+	received, err := x.run(ctx, now)
+	if err != nil {
+		reason := basillift.ReasonConnectFailed
+		if x.unreachable {
+			return notRun(reason, 0), blretry.EndingUnreachable
+		}
+		return unknown(http.StatusBadGateway, reason), blretry.EndingBroken
+	}
+	a := &received.answer
+	a.readInternal()
+	return a, ending(a)
+}
+
+// local is the request as the target side expects it.
+func (s *callerSide) local(r *request) *request {
+	n := *r
+	n.fields = append([]field(nil), r.fields...)
+	n.fields = s.withCaller(n.fields)
+	return &n
+}
+
+// withCaller replaces what the caller says of its service.
+func (s *callerSide) withCaller(fields []field) []field {
+	name := s.courier.settings.dialect.Caller()
+	kept := fields[:0]
+	for _, f := range fields {
+		if !equalFold(f.name, name) {
+			kept = append(kept, f)
+		}
+	}
+	return append(kept, field{name, s.courier.settings.service})
+}
+
+// head is the header of the request for the daemon beside the target.
+func (s *callerSide) head(j *journey, now time.Time) []byte {
+	d := s.courier.settings.dialect
+	b := appendRequestLine(nil, j.request)
+	b = appendFields(b, j.request, d.Caller(), d.Instance())
+	b = appendField(b, d.Caller(), s.courier.settings.service)
+	b = appendField(b, headerInstance, j.hop.instance)
+	b = appendField(b, headerLane, j.hop.lane)
+	b = appendField(b, headerRank, strconv.Itoa(j.hop.rank))
+	b = appendField(b, headerWhole, microseconds(j.hop.objective))
+	b = appendField(b, headerGoal, microseconds(j.hop.goal.Sub(now)))
+	b = appendField(b, headerLeft, microseconds(j.hop.deadline.Sub(now)))
+	if j.hop.repeatable {
+		b = appendField(b, headerRepeat, "1")
+	}
+	return append(b, "\r\n"...)
+}
+
+// readInternal takes the internal headers of another daemon's answer.
+func (a *answer) readInternal() {
+	a.outcome = basillift.Outcome(a.header(headerOutcome))
+	a.reason = basillift.Reason(a.header(headerReason))
+	a.retryAfter, _ = parseMicroseconds(a.header(headerRetry))
+	a.load = parseLoad(a.header(headerLoad))
+}
+
+// ending is what an answer of the target side means.
+func ending(a *answer) blretry.Ending {
+	switch {
+	case a.outcome == basillift.OutcomeDone && a.status >= http.StatusInternalServerError:
+		return blretry.EndingFailed
+	case a.outcome == basillift.OutcomeDone:
+		return blretry.EndingAnswered
+	case a.outcome == basillift.OutcomeNotRun && a.reason == basillift.ReasonTarget:
+		return blretry.EndingShed
+	case a.outcome == basillift.OutcomeNotRun && a.reason == basillift.ReasonNoTarget:
+		return blretry.EndingUnreachable
+	case a.outcome == basillift.OutcomeNotRun:
+		return blretry.EndingRefused
+	default:
+		return blretry.EndingBroken
+	}
+}
+
+func equalFold(a, b string) bool { return len(a) == len(b) && strings.EqualFold(a, b) }
+
+// connectionOptions returns the value of the Connection header.
+func connectionOptions(r *request) string { return r.header("Connection") }
+
+func listsOption(options, name string) bool {
+	for option := range strings.SplitSeq(options, ",") {
+		if strings.EqualFold(strings.TrimSpace(option), name) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/basillift/blcourier/courier.go
@@ -0,0 +1,187 @@
+package blcourier
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blplace"
+	"basillift.dev/basillift/blpool"
+	"basillift.dev/basillift/blretry"
+	"basillift.dev/basillift/bltable"
+)
+
+const (
+	// sweepEvery is how often old connections are closed and the fleet is looked through.
+	sweepEvery = 500 * time.Millisecond
+	// forgetAfter is how long the load of an unused target is remembered.
+	forgetAfter = time.Minute
+	// newWorkEnds is how long after a stop began callers may still send requests: two missed readiness
+	// checks, one a second.
+	newWorkEnds = 2300 * time.Millisecond
+	// drainCheck is how often a stop looks whether requests are in flight.
+	drainCheck = 10 * time.Millisecond
+)
+
+// Courier is the request path of one daemon.
+type Courier struct {
+	settings  Settings
+	tables    *bltable.Holder
+	fleet     *blfleet.Fleet
+	dealer    *bltable.Dealer
+	placer    *blplace.Placer
+	allowance *blretry.Allowance
+	pools     *blpool.Set
+	desk      *desk
+	targets   *targetSide
+	callers   *server
+	mesh      *server
+	ready     *fasthttp.Server
+	onReady   net.Listener
+	stopping  atomic.Bool
+	tasks     sync.WaitGroup
+}
+
+// New returns a courier that routes by the holder's table to the fleet's targets.
+func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, rnd *rand.Rand) *Courier {
+	c := &Courier{
+		settings: s, tables: tables, fleet: fleet,
+		dealer: bltable.NewDealer(rnd), placer: blplace.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
+		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(),
+	}
+	c.targets = &targetSide{courier: c}
+	c.callers = newServer(s.callers, &callerSide{courier: c})
+	c.mesh = newServer(s.mesh, c.targets)
+	c.ready = &fasthttp.Server{Handler: c.serveReady, NoDefaultServerHeader: true}
+	return c
+}
+
+// Listen opens all addresses.
+func (c *Courier) Listen() error {
+	if err := c.mesh.listen(); err != nil {
+		return fmt.Errorf("address for daemons: %w", err)
+	}
+	if err := c.callers.listen(); err != nil {
+		return fmt.Errorf("address for callers: %w", err)
+	}
+	l, err := net.Listen("tcp", c.settings.ready)
+	if err != nil {
+		return fmt.Errorf("address for readiness: %w", err)
+	}
+	c.onReady = l
+	return nil
+}
+
+// Run serves until ctx ends; Drain comes before that.
+func (c *Courier) Run(ctx context.Context) error {
+	c.tasks.Go(func() { c.mesh.loop(ctx) })
+	c.tasks.Go(func() { c.callers.loop(ctx) })
+	c.tasks.Go(func() { _ = c.ready.Serve(c.onReady) })
+	c.loop(ctx)
+	c.callers.stop()
+	c.mesh.stop()
+	err := c.ready.Shutdown()
+	c.pools.Close()
+	c.tasks.Wait()
+	if err != nil {
+		return fmt.Errorf("stop readiness: %w", err)
+	}
+	return nil
+}
+
+// loop does what is due from time to time.
+func (c *Courier) loop(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.pools.Sweep(now)
+			c.fleet.Tick(now)
+			c.placer.Forget(now, forgetAfter)
+		}
+	}
+}
+
+// Changed tells that the routing table or the fleet has changed.
+func (c *Courier) Changed(now time.Time) {
+	if e, _, known := c.fleet.At(c.settings.target); known && e.Slots() > 0 {
+		c.desk.setSlots(now, e.Slots())
+	}
+	if t := c.tables.Current(); t != nil {
+		c.dealer.Retain(t)
+	}
+}
+
+// Drain says that the daemon is not ready, answers what is in flight and what callers
+// still send, and returns when nothing is left or ctx ends.
+func (c *Courier) Drain(ctx context.Context) {
+	c.stopping.Store(true)
+	c.callers.drain(false)
+	c.mesh.drain(false)
+	begun := time.Now()
+	ticker := time.NewTicker(drainCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if now.Sub(begun) < newWorkEnds {
+				continue
+			}
+			c.callers.drain(true)
+			if !c.callers.busy() && !c.mesh.busy() {
+				return
+			}
+		}
+	}
+}
+
+// Ready reports whether callers may send requests.
+func (c *Courier) Ready() bool { return !c.stopping.Load() && c.tables.Current() != nil }
+
+func (c *Courier) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) != c.settings.dialect.Ready():
+		ctx.SetStatusCode(http.StatusNotFound)
+	case !c.Ready():
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+// terms are the limits of callers by the routing table in force.
+func (c *Courier) terms() terms {
+	t := terms{
+		headerBytes: blpool.BufferBytes, bodyBytes: defaultBodyBytes,
+		headerTimeout: defaultHeaderTimeout, idleTimeout: defaultIdleTimeout,
+	}
+	table := c.tables.Current()
+	if table == nil {
+		return t
+	}
+	l := table.Limits()
+	t.headerBytes = positive(l.HeaderBytes(), t.headerBytes)
+	t.bodyBytes = positive(l.BodyBytes(), t.bodyBytes)
+	t.headerTimeout = positive(l.HeaderTimeout(), t.headerTimeout)
+	t.idleTimeout = positive(l.IdleTimeout(), t.idleTimeout)
+	return t
+}
+
+// positive returns the first value unless it is not set.
+func positive[T int | time.Duration](value, otherwise T) T {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
--- /dev/null
+++ b/basillift/blcourier/target.go
@@ -0,0 +1,205 @@
+package blcourier
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// leaveMargin is how long before the end of its drain time a leaving target gets no more requests: the
+// way to it, and the time its leaving took to be known here.
+const leaveMargin = 800 * time.Millisecond
+
+// hop is what the caller side tells the target side of a request.
+type hop struct {
+	instance   string
+	lane       string
+	rank       int
+	repeatable bool
+	objective  time.Duration
+	goal       time.Time
+	deadline   time.Time
+}
+
+// targetSide runs requests at the VM's own target.
+type targetSide struct{ courier *Courier }
+
+func (t *targetSide) internal() bool { return true }
+
+func (t *targetSide) terms() terms {
+	own := t.courier.terms()
+	// The caller side adds headers of its own.
+	own.headerBytes += 4 << 10
+	own.idleTimeout = meshWait
+	return own
+}
+
+// serve implements handler for requests of other daemons.
+func (t *targetSide) serve(ctx context.Context, r *request) *answer {
+	h, ok := readHop(r)
+	if !ok {
+		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
+	}
+	return t.run(ctx, r, h)
+}
+
+// readHop reads the internal headers of a request.
+func readHop(r *request) (hop, bool) {
+	goal, okGoal := parseMicroseconds(r.header(headerGoal))
+	left, okLeft := parseMicroseconds(r.header(headerLeft))
+	whole, okWhole := parseMicroseconds(r.header(headerWhole))
+	rank, err := strconv.Atoi(r.header(headerRank))
+	return hop{
+		instance: r.header(headerInstance), lane: r.header(headerLane), rank: rank,
+		repeatable: r.header(headerRepeat) != "", objective: whole,
+		goal: r.arrived.Add(goal), deadline: r.arrived.Add(left),
+	}, okGoal && okLeft && okWhole && err == nil
+}
+
+// run admits a request and passes it to the target. The answer carries the target's load.
+func (t *targetSide) run(ctx context.Context, r *request, h hop) *answer {
+	a := t.admit(ctx, r, h)
+	a.load = t.courier.desk.load()
+	a.instance = h.instance
+	return a
+}
+
+func (t *targetSide) admit(ctx context.Context, r *request, h hop) *answer {
+	c := t.courier
+	now := time.Now()
+	if c.stopping.Load() && c.desk.load().Running() == 0 {
+		return notRun(basillift.ReasonDraining, 0)
+	}
+	_, leaving, known := c.fleet.At(c.settings.target)
+	if known && !leaving.IsZero() && now.Sub(leaving) > c.settings.leaving-leaveMargin {
+		return notRun(basillift.ReasonDraining, 0)
+	}
+	id, refusal := c.desk.enter(ctx, now, h)
+	if refusal != nil {
+		return refusal
+	}
+	a, observed := t.ask(ctx, r, h)
+	if a.rest == nil {
+		c.desk.leave(time.Now(), id, observed)
+		return a
+	}
+	finish := a.rest.finish
+	a.rest.finish = func(complete bool) {
+		finish(complete)
+		c.desk.leave(time.Now(), id, complete)
+	}
+	return a
+}
+
+// ask passes a request to the target. Observed tells that it ran to its end.
+func (t *targetSide) ask(ctx context.Context, r *request, h hop) (a *answer, observed bool) {
+	c := t.courier
+	d := c.settings.dialect
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, h.deadline)
+	defer cancel()
+	if ctx.Err() != nil {
+		return notRun(basillift.ReasonDeadline, 0), false
+	}
+	x := &exchange{
+		pool: c.pools.Of(c.settings.target), request: r, head: t.head(r, h, now), deadline: h.deadline,
+		requestID: r.header(d.RequestID()), idHeader: d.RequestID(), notRun: d.NotRun(),
+	}
+	running := ctx
+	if !h.repeatable {
+		// A request that must not run twice is not broken off when its caller leaves.
+		running = context.WithoutCancel(ctx)
+	}
+	received, err := x.run(running, now)
+	if err != nil {
+		return t.failed(time.Now(), x, err), false
+	}
+	return t.judge(received)
+}
+
+// head is the header of the request for the target.
+func (t *targetSide) head(r *request, h hop, now time.Time) []byte {
+	d := t.courier.settings.dialect
+	b := appendRequestLine(nil, r)
+	b = appendFields(b, r, d.Deadline(), d.Instance())
+	left := max(1, h.deadline.Sub(now).Milliseconds())
+	b = appendField(b, d.Deadline(), strconv.FormatInt(left, 10))
+	if h.instance != "" {
+		b = appendField(b, d.Instance(), h.instance)
+	}
+	return append(b, "\r\n"...)
+}
+
+// failed says what is known of a request that brought no answer.
+func (t *targetSide) failed(now time.Time, x *exchange, err error) *answer {
+	c := t.courier
+	var timeout net.Error
+	expired := !now.Before(x.deadline) || errors.As(err, &timeout) && timeout.Timeout()
+	switch {
+	case x.unreachable && errors.Is(err, syscall.ECONNREFUSED):
+		c.desk.down(now)
+		return notRun(basillift.ReasonNoTarget, downPause)
+	case x.unreachable:
+		return notRun(basillift.ReasonConnectFailed, 0)
+	case expired:
+		return unknown(http.StatusGatewayTimeout, basillift.ReasonDeadline)
+	default:
+		return unknown(http.StatusBadGateway, basillift.ReasonTarget)
+	}
+}
+
+// judge decides what an answer of the target says.
+func (t *targetSide) judge(r *received) (a *answer, observed bool) {
+	d := t.courier.settings.dialect
+	a = &r.answer
+	switch {
+	case r.header(d.NotRun()) != "" || r.status == http.StatusMisdirectedRequest:
+		a.discard()
+		retry, _ := strconv.ParseFloat(r.header("Retry-After"), 64)
+		refusal := notRun(basillift.ReasonTarget, time.Duration(retry*float64(time.Second)))
+		return refusal, false
+	case r.encoded, r.status < http.StatusMultipleChoices && r.header(d.Seal()) == "":
+		// These bytes are not the target's answer.
+		a.discard()
+		return unknown(http.StatusBadGateway, basillift.ReasonTruncated), true
+	}
+	a.outcome = basillift.OutcomeDone
+	return a, true
+}
+
+func appendRequestLine(b []byte, r *request) []byte {
+	b = append(append(append(b, r.method...), ' '), r.uri...)
+	return append(b, " HTTP/1.1\r\n"...)
+}
+
+// appendFields adds the headers that are passed on, without those that the daemon sets itself, and the framing.
+func appendFields(b []byte, r *request, own ...string) []byte {
+	listed := connectionOptions(r)
+fields:
+	for _, f := range r.fields {
+		if connectionHeader(f.name) || internalHeader(f.name) || listed != "" && listsOption(listed, f.name) {
+			continue
+		}
+		for _, name := range own {
+			if equalFold(f.name, name) {
+				continue fields
+			}
+		}
+		b = appendField(b, f.name, f.value)
+	}
+	switch {
+	case r.rest != nil && r.size < 0:
+		b = appendField(b, "Transfer-Encoding", "chunked")
+	case r.rest != nil:
+		b = appendField(b, "Content-Length", strconv.Itoa(r.size))
+	case len(r.body) > 0 || r.size != 0 || r.method == http.MethodPost || r.method == http.MethodPut:
+		b = appendField(b, "Content-Length", strconv.Itoa(len(r.body)))
+	}
+	return b
+}
--- /dev/null
+++ b/basillift/blfleet/fleet.go
@@ -0,0 +1,215 @@
+package blfleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// returnGrace is how long after the registry's return an entry may be missing: targets publish
+// themselves again within 2 s, by the registry's contract.
+const returnGrace = 2 * time.Second
+
+// removedMemory is how long a removed entry is remembered: longer than a delayed entry is on its way.
+const removedMemory = time.Minute
+
+// Target is one usable target.
+type Target struct {
+	endpoint  basillift.Endpoint
+	warmUntil time.Time
+	since     time.Time
+}
+
+// Endpoint is what the target says of itself.
+func (t *Target) Endpoint() basillift.Endpoint { return t.endpoint }
+
+// WarmUntil is when the target stops being slow after its start.
+func (t *Target) WarmUntil() time.Time { return t.warmUntil }
+
+// Since is when this daemon learned of the target.
+func (t *Target) Since() time.Time { return t.since }
+
+// record is what is known of one key.
+type record struct {
+	target   *Target
+	revision uint64
+	// removed is when the entry was removed. It is remembered for a while, since an
+	// older entry of the same target may still arrive.
+	removed time.Time
+	// missing is set while the entry is gone but the registry may have lost it.
+	missing bool
+	// drains is when the target was first seen leaving.
+	drains time.Time
+}
+
+// view is what readers see.
+type view struct {
+	services  map[string][]*Target
+	byAddress map[string]*record
+	machines  int
+}
+
+// Fleet holds the entries of all targets. It is safe for concurrent use.
+type Fleet struct {
+	mutex      sync.Mutex
+	records    map[string]*record
+	graceUntil time.Time
+	current    atomic.Pointer[view]
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	f := &Fleet{records: make(map[string]*record)}
+	f.current.Store(&view{})
+	return f
+}
+
+// Targets returns the usable targets of a service in the order of their instances. The slice must not be changed.
+func (f *Fleet) Targets(service string) []*Target { return f.current.Load().services[service] }
+
+// Machines is the number of addresses at which targets have entries; 1 at least.
+func (f *Fleet) Machines() int { return max(1, f.current.Load().machines) }
+
+// At returns the newest entry of an address, and since when it is leaving; zero while it is not.
+func (f *Fleet) At(address string) (basillift.Endpoint, time.Time, bool) {
+	r := f.current.Load().byAddress[address]
+	if r == nil {
+		return basillift.Endpoint{}, time.Time{}, false
+	}
+	return r.target.endpoint, r.drains, true
+}
+
+// Returned tells that the registry answers again after an outage.
+func (f *Fleet) Returned(now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.graceUntil = now.Add(returnGrace)
+}
+
+// Apply takes one change. Changes that are older than what is held do nothing.
+func (f *Fleet) Apply(now time.Time, p basillift.Publication) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.apply(now, p)
+	f.publish()
+}
+
+// Replace takes a whole listing: entries that it lacks are gone.
+func (f *Fleet) Replace(now time.Time, publications []basillift.Publication) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	listed := make(map[string]bool, len(publications))
+	for _, p := range publications {
+		listed[p.Key()] = true
+		f.apply(now, p)
+	}
+	for key, r := range f.records {
+		if !listed[key] {
+			f.remove(now, r)
+		}
+	}
+	f.publish()
+}
+
+// Tick ends the targets whose entries did not come back in time.
+func (f *Fleet) Tick(now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	changed := false
+	for key, r := range f.records {
+		switch {
+		case !r.removed.IsZero() && now.Sub(r.removed) > removedMemory:
+			delete(f.records, key)
+		case r.missing && !now.Before(f.graceUntil):
+			r.missing, r.removed = false, now
+			changed = true
+		}
+	}
+	if changed {
+		f.publish()
+	}
+}
+
+func (f *Fleet) apply(now time.Time, p basillift.Publication) {
+	held := f.records[p.Key()]
+	if held != nil && p.Revision() < held.revision {
+		return
+	}
+	e, usable := p.Endpoint()
+	if !usable {
+		if held != nil {
+			held.revision = p.Revision()
+			f.remove(now, held)
+		}
+		return
+	}
+	if held != nil && e.OlderThan(held.target.endpoint) {
+		return
+	}
+	r := &record{revision: p.Revision(), target: &Target{endpoint: e, since: now, warmUntil: now.Add(e.Warmup())}}
+	if held != nil && held.target.endpoint.Born().Equal(e.Born()) {
+		r.target.since = held.target.since
+		r.target.warmUntil = earlier(held.target.warmUntil, r.target.warmUntil)
+		r.drains = held.drains
+	}
+	if !e.State().Willing() && r.drains.IsZero() {
+		r.drains = now
+	}
+	f.records[p.Key()] = r
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (f *Fleet) remove(now time.Time, r *record) {
+	if !r.removed.IsZero() {
+		return
+	}
+	if now.Before(f.graceUntil) && r.target.endpoint.State().Willing() {
+		r.missing = true
+		return
+	}
+	r.removed, r.missing = now, false
+}
+
+// publish makes a new view for readers.
+func (f *Fleet) publish() {
+	v := &view{services: make(map[string][]*Target), byAddress: make(map[string]*record, len(f.records))}
+	for _, r := range f.records {
+		if !r.removed.IsZero() {
+			continue
+		}
+		address := r.target.endpoint.Address()
+		if o := v.byAddress[address]; o == nil || r.newerThan(o) {
+			v.byAddress[address] = r
+		}
+	}
+	v.machines = len(v.byAddress)
+	for _, r := range v.byAddress {
+		e := r.target.endpoint
+		if e.State().Willing() {
+			v.services[e.Service()] = append(v.services[e.Service()], r.target)
+		}
+	}
+	for _, targets := range v.services {
+		slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.endpoint.Instance(), b.endpoint.Instance()) })
+	}
+	f.current.Store(v)
+}
+
+// newerThan orders two entries with the same address. A removed entry that is only kept for the
+// registry's sake loses against any other.
+func (r *record) newerThan(o *record) bool {
+	if r.missing != o.missing {
+		return o.missing
+	}
+	return r.revision > o.revision
+}
--- /dev/null
+++ b/basillift/blfollow/state.go
@@ -0,0 +1,149 @@
+package blfollow
+
+import (
+	"errors"
+	"math/rand"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+const (
+	// changeWait is how long the registry may hold a request for changes. It bounds how long a lost answer
+	// can hide changes: in force within 2 s, and 3 s to be in touch again, leave 5 s.
+	changeWait = 3 * time.Second
+	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
+	changePause = 150 * time.Millisecond
+	// retryFirst and retryMost bound the pause after failures.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// outageAfter is the silence after which the registry counts as away: one wait and its answer.
+	outageAfter = changeWait + time.Second
+)
+
+// StepKind says what to ask the registry next.
+type StepKind string
+
+// The kinds of steps.
+const (
+	StepList    StepKind = "list"
+	StepChanges StepKind = "changes"
+)
+
+// Step is the next request to the registry, after a pause.
+type Step struct {
+	kind     StepKind
+	pause    time.Duration
+	after    string
+	revision uint64
+	wait     time.Duration
+}
+
+// Kind says what to ask.
+func (s Step) Kind() StepKind { return s.kind }
+
+// Pause is how long to wait before asking.
+func (s Step) Pause() time.Duration { return s.pause }
+
+// After is the key after which a page begins.
+func (s Step) After() string { return s.after }
+
+// Revision is the revision after which changes are asked for.
+func (s Step) Revision() uint64 { return s.revision }
+
+// Wait is how long the registry may hold the request.
+func (s Step) Wait() time.Duration { return s.wait }
+
+// State decides what to ask the registry next. It is not safe for concurrent use.
+type State struct {
+	rnd      *rand.Rand
+	listed   bool
+	after    string
+	revision uint64
+	pages    []basillift.Publication
+	first    uint64
+	failures int
+	answered time.Time
+	changed  time.Time
+	away     bool
+}
+
+// NewState returns the state of a follower that knows nothing.
+func NewState(now time.Time, rnd *rand.Rand) *State { return &State{rnd: rnd, answered: now} }
+
+// Next is what to ask next.
+func (s *State) Next(now time.Time) Step {
+	pause := s.backoff()
+	if !s.listed {
+		return Step{kind: StepList, after: s.after, pause: pause}
+	}
+	if s.failures == 0 {
+		pause = max(0, s.changed.Add(changePause).Sub(now))
+	}
+	return Step{kind: StepChanges, revision: s.revision, wait: changeWait, pause: pause}
+}
+
+// backoff is the pause after failures: half fixed, half random.
+func (s *State) backoff() time.Duration {
+	if s.failures == 0 {
+		return 0
+	}
+	limit := min(retryMost, retryFirst<<min(s.failures-1, 8))
+	return limit/2 + time.Duration(s.rnd.Int63n(int64(limit/2)))
+}
+
+// Listed takes a page. It returns all entries once the last page is in, and
+// whether the registry was away before.
+func (s *State) Listed(now time.Time, l basillift.Listing) (all []basillift.Publication, complete, returned bool) {
+	returned = s.succeed(now)
+	if l.Revision() < s.revision {
+		// An answer from before what is known already.
+		s.restart()
+		s.failures = 1
+		return nil, false, returned
+	}
+	if s.after == "" {
+		s.first = l.Revision()
+	}
+	s.pages = append(s.pages, l.Publications()...)
+	s.after = l.Next()
+	if s.after != "" {
+		return nil, false, returned
+	}
+	// Pages are no snapshot: changes since the first one are asked for again.
+	all, s.pages, s.listed, s.revision = s.pages, nil, true, s.first
+	return all, true, returned
+}
+
+// Changed takes an answer with changes, possibly none.
+func (s *State) Changed(now time.Time, l basillift.Listing) (returned bool) {
+	returned = s.succeed(now)
+	s.revision = max(s.revision, l.Revision())
+	if len(l.Publications()) > 0 {
+		s.changed = now
+	}
+	return returned
+}
+
+// Failed takes a failure, and reports whether the registry counts as away from now on.
+func (s *State) Failed(now time.Time, err error) (lost bool) {
+	if errors.Is(err, basillift.ErrCompacted) {
+		s.restart()
+		return false
+	}
+	s.failures++
+	if s.away || s.failures < 2 && now.Sub(s.answered) < outageAfter {
+		return false
+	}
+	s.away = true
+	return true
+}
+
+func (s *State) restart() { s.listed, s.after, s.pages = false, "", nil }
+
+// succeed notes an answer and reports whether it ends an outage.
+func (s *State) succeed(now time.Time) (returned bool) {
+	returned = s.away
+	s.away, s.failures, s.answered = false, 0, now
+	return returned
+}
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -24,7 +24,7 @@
 func Catalogue() []Entry {
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopCut(), ListenFailed(),
-		VersionApplied(), VersionRefused(), PlatformFailed(), NumberingBack(),
+		VersionApplied(), VersionRefused(), PlatformFailed(), NumberingBack(), PlatformReturned(),
 		MemberDied(), Paused(), TargetChanged(), NoticeFailed(), NoticeSent(), LoopFailed(),
 	}
 }
@@ -71,6 +71,9 @@
 	return Entry{203, zerolog.WarnLevel, "platform numbering went back", "raise epoch in one of the lists and publish it"}
 }
 
+// PlatformReturned is logged when the platform answers again.
+func PlatformReturned() Entry { return Entry{204, zerolog.InfoLevel, "platform answers again", "none"} }
+
 // MemberDied is logged when a member is declared dead.
 func MemberDied() Entry { return Entry{300, zerolog.InfoLevel, "member died", "none"} }
 
--- /dev/null
+++ b/basillift/blplace/placer.go
@@ -0,0 +1,202 @@
+package blplace
+
+import (
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfleet"
+)
+
+const (
+	// farSurcharge is the time that a target in another failure domain must save: the way there and back,
+	// and the price of the bytes, which is a twelfth of a request's worth.
+	farSurcharge = 15 * time.Millisecond
+	// unknownHold is the assumed slot time of a target that no answer has described.
+	unknownHold = 50 * time.Millisecond
+	// unknownSlots is the assumed number of slots of a target that does not say.
+	unknownSlots = 8
+	// coldFactor is how much longer a target needs for a request just after its start.
+	coldFactor = 2
+	// newsLifetime is how long a load report counts; a few answers of any busy target come meanwhile.
+	newsLifetime = time.Second
+	// pauseFirst and pauseMost bound how long a target is left out after failures. The first is some
+	// round trips, the last well below the time a restarted target may stay unused.
+	pauseFirst = 150 * time.Millisecond
+	pauseMost  = 2 * time.Second
+	// failureWeight is the share of a new observation in the failure rate.
+	failureWeight = 0.1
+	// failureCost is the time that a request at a target that always fails is worth.
+	failureCost = time.Second
+	// nearDraws and farDraws are how many targets are compared.
+	nearDraws = 3
+	farDraws  = 1
+)
+
+// Result says how an attempt at a target ended.
+type Result string
+
+// The results.
+const (
+	// ResultAnswered is an answer of the target that is not a failure.
+	ResultAnswered Result = "answered"
+	// ResultRefused means that the request did not run for lack of room.
+	ResultRefused Result = "refused"
+	// ResultFailed is a failure that the target answered.
+	ResultFailed Result = "failed"
+	// ResultBroken means that the connection broke or the answer was of no use.
+	ResultBroken Result = "broken"
+	// ResultUnreachable means that the daemon beside the target did not take the request.
+	ResultUnreachable Result = "unreachable"
+	// ResultCanceled means that the caller left or its time was over.
+	ResultCanceled Result = "canceled"
+)
+
+// Placer chooses targets for the requests of one daemon. It is safe for concurrent use.
+type Placer struct {
+	mutex  sync.Mutex
+	domain basillift.FailureDomain
+	rnd    *rand.Rand
+	peers  map[string]*peer
+}
+
+// peer is what is known of one target.
+type peer struct {
+	inFlight   int
+	load       basillift.Load
+	reported   time.Time
+	atReport   int
+	failures   float64
+	pauses     int
+	pauseUntil time.Time
+	seen       time.Time
+}
+
+// New returns a placer for a daemon in a failure domain.
+func New(domain basillift.FailureDomain, rnd *rand.Rand) *Placer {
+	return &Placer{domain: domain, rnd: rnd, peers: make(map[string]*peer)}
+}
+
+// Choose picks a target that is not excluded; false if there is none.
+func (p *Placer) Choose(now time.Time, targets []*blfleet.Target, exclude []string) (*blfleet.Target, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var near, far, paused []*blfleet.Target
+	for _, t := range targets {
+		e := t.Endpoint()
+		switch {
+		case slices.Contains(exclude, e.Instance()):
+		case now.Before(p.peer(now, e.Instance()).pauseUntil):
+			paused = append(paused, t)
+		case e.Domain() == p.domain:
+			near = append(near, t)
+		default:
+			far = append(far, t)
+		}
+	}
+	drawn := append(p.draw(near, nearDraws), p.draw(far, max(farDraws, nearDraws-len(near)))...)
+	if len(drawn) == 0 {
+		// When all targets look bad, the observation is more likely wrong than all of them are.
+		drawn = p.draw(paused, nearDraws)
+	}
+	return p.best(now, drawn)
+}
+
+// draw moves up to count targets that are drawn by lot to the front and returns them.
+func (p *Placer) draw(from []*blfleet.Target, count int) []*blfleet.Target {
+	count = min(count, len(from))
+	for i := range count {
+		k := i + p.rnd.Intn(len(from)-i)
+		from[i], from[k] = from[k], from[i]
+	}
+	return from[:count:count]
+}
+
+func (p *Placer) best(now time.Time, drawn []*blfleet.Target) (*blfleet.Target, bool) {
+	var best *blfleet.Target
+	var least time.Duration
+	for _, t := range drawn {
+		cost := p.cost(now, t)
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	return best, best != nil
+}
+
+// cost is the time that a request is expected to spend at a target, with surcharges.
+func (p *Placer) cost(now time.Time, t *blfleet.Target) time.Duration {
+	e := t.Endpoint()
+	n := p.peer(now, e.Instance())
+	hold, slots, load := unknownHold, unknownSlots, n.inFlight
+	if e.Slots() > 0 {
+		slots = e.Slots()
+	}
+	if n.load.Hold() > 0 {
+		hold = n.load.Hold()
+	}
+	if now.Before(t.WarmUntil()) {
+		hold *= coldFactor
+	}
+	if now.Sub(n.reported) < newsLifetime {
+		load = max(load, n.load.Running()+n.load.Queued()+n.inFlight-n.atReport)
+	}
+	over := max(0, load+1-slots)
+	cost := hold + hold*time.Duration(over)/time.Duration(slots) + hold*time.Duration(load)/time.Duration(4*slots)
+	cost += time.Duration(n.failures * float64(failureCost))
+	if e.Domain() != p.domain {
+		cost += farSurcharge
+	}
+	return cost
+}
+
+// Started notes that a request is sent to a target.
+func (p *Placer) Started(now time.Time, instance string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.peer(now, instance).inFlight++
+}
+
+// Ended notes how a request that was Started ended. The load is nil if none was told.
+func (p *Placer) Ended(now time.Time, instance string, r Result, load *basillift.Load) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	n := p.peer(now, instance)
+	n.inFlight = max(0, n.inFlight-1)
+	if load != nil {
+		n.load, n.reported, n.atReport = *load, now, n.inFlight
+	}
+	switch r {
+	case ResultAnswered:
+		n.failures -= n.failures * failureWeight
+		n.pauses = 0
+	case ResultFailed, ResultBroken:
+		n.failures += (1 - n.failures) * failureWeight
+	case ResultUnreachable:
+		n.pauses++
+		n.pauseUntil = now.Add(min(pauseMost, pauseFirst<<min(n.pauses-1, 8)))
+	}
+}
+
+func (p *Placer) peer(now time.Time, instance string) *peer {
+	n := p.peers[instance]
+	if n == nil {
+		n = &peer{}
+		p.peers[instance] = n
+	}
+	n.seen = now
+	return n
+}
+
+// Forget drops what is known of targets that were not looked at for a while.
+func (p *Placer) Forget(now time.Time, after time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for instance, n := range p.peers {
+		if n.inFlight == 0 && now.Sub(n.seen) > after {
+			delete(p.peers, instance)
+		}
+	}
+}
--- a/basillift/blproxy/body.go
+++ b/basillift/blproxy/body.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 
+	"basillift.dev/basillift/blpool"
+
 	"github.com/rotisserie/eris"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
@@ -138,7 +140,7 @@
 // sender writes a request whose body is still arriving, while the response is awaited elsewhere.
 type sender struct {
 	request *fasthttp.Request
-	conn    *connection
+	conn    *blpool.Conn
 	body    *body
 	err     error
 	done    chan struct{}
@@ -154,12 +156,12 @@
 	}
 }
 
-func writeRequest(request *fasthttp.Request, c *connection) error {
-	err := request.Write(c.writer)
+func writeRequest(request *fasthttp.Request, c *blpool.Conn) error {
+	err := request.Write(c.Writer())
 	if err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
-	err = c.writer.Flush()
+	err = c.Writer().Flush()
 	if err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
--- a/basillift/blproxy/call.go
+++ b/basillift/blproxy/call.go
@@ -1,10 +1,12 @@
 package blproxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blpool"
 )
 
 // call is one request in flight through this daemon. Its connections can be
@@ -24,11 +26,11 @@
 
 	mutex    sync.Mutex
 	canceled bool
-	held     []*connection
-	space    [2]*connection
+	held     []*blpool.Conn
+	space    [2]*blpool.Conn
 	// decided is set once one of two copies of the call counts; keep is its connection.
 	decided bool
-	keep    *connection
+	keep    *blpool.Conn
 	done    chan struct{}
 	slot    uint64
 	// guarded is set while the guard counts the call as in flight at the target,
@@ -90,7 +92,7 @@
 }
 
 // hold lets cancel close the connection, and reports false if the call is already canceled.
-func (c *call) hold(n *connection) bool {
+func (c *call) hold(n *blpool.Conn) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.canceled || c.decided && n != c.keep {
@@ -103,28 +105,28 @@
 	return true
 }
 
-// letGo ends the hold, and reports false if the call was canceled, so that the connection is closed.
-func (c *call) letGo(n *connection) bool {
+// letGo ends the hold, and reports false if the call was canceled or the other copy of it
+// counts, so that the connection is closed.
+func (c *call) letGo(n *blpool.Conn) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for i, each := range c.held {
-		if each == n {
-			c.held = append(c.held[:i], c.held[i+1:]...)
-			break
-		}
+	i := slices.Index(c.held, n)
+	if i < 0 {
+		return false
 	}
-	return !c.canceled && !n.cut
+	c.held = append(c.held[:i], c.held[i+1:]...)
+	return !c.canceled
 }
 
 // closeOthers closes all connections of the call but one, and refuses later ones.
-func (c *call) closeOthers(keep *connection) {
+func (c *call) closeOthers(keep *blpool.Conn) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.decided, c.keep = true, keep
 	for _, each := range c.held {
 		if each != keep {
-			each.cut = true
 			_ = each.Close()
 		}
 	}
+	c.held = slices.DeleteFunc(c.held, func(each *blpool.Conn) bool { return each != keep })
 }
--- a/basillift/blproxy/dispatch.go
+++ b/basillift/blproxy/dispatch.go
@@ -108,7 +108,7 @@
 		p.routes.finished(now, t.member.ID(), blroute.ResultOK)
 		return &failure{basillift.OutcomeNotRun, basillift.ReasonDeadline, nil}, false
 	}
-	x := &exchange{call: k, pool: p.pools.of(t.member.Addresses().Mesh()), body: t.body, ctx: t.ctx}
+	x := &exchange{call: k, pool: p.pools.Of(t.member.Addresses().Mesh()), body: t.body, ctx: t.ctx}
 	h := t.newHedge(now)
 	failed = x.send(now, t.out, &t.ctx.Response, p.settings.bufferSize)
 	if failed == nil {
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"basillift.dev/basillift/blpool"
+
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -31,8 +33,8 @@
 // exchange is one request sent over one connection, and its response.
 type exchange struct {
 	call   *call
-	pool   *pool
-	conn   *connection
+	pool   *blpool.Pool
+	conn   *blpool.Conn
 	sender *sender
 	body   *body
 	ctx    *fasthttp.RequestCtx
@@ -66,8 +68,8 @@
 }
 
 func (x *exchange) open(now time.Time) *failure {
-	c, err := x.pool.get(now, x.call.deadline)
-	if errors.Is(err, errTooManyConnections) {
+	c, err := x.pool.Get(now, x.call.deadline)
+	if errors.Is(err, blpool.ErrTooManyConnections) {
 		return &failure{basillift.OutcomeNotRun, basillift.ReasonOverload, err}
 	}
 	if err != nil {
@@ -75,10 +77,10 @@
 	}
 	x.conn = c
 	if !x.call.hold(c) {
-		x.pool.put(now, c)
+		x.pool.Put(now, c)
 		return &failure{basillift.OutcomeNotRun, basillift.ReasonCallerGone, nil}
 	}
-	err = c.begin(x.call.deadline)
+	err = c.Begin(x.call.deadline)
 	if err != nil {
 		x.end(false)
 		return &failure{basillift.OutcomeNotRun, basillift.ReasonConnectFailed, err}
@@ -106,7 +108,7 @@
 // the kernel has accepted one byte, the request may have run.
 func (x *exchange) classify(err error) *failure {
 	f := &failure{basillift.OutcomeUnknown, basillift.ReasonTarget, err}
-	if x.conn.written == 0 {
+	if x.conn.Written() == 0 {
 		f.outcome, f.reason = basillift.OutcomeNotRun, basillift.ReasonConnectFailed
 	}
 	var timeout net.Error
@@ -123,10 +125,10 @@
 }
 
 // readHead reads the header of the final response and skips informational ones.
-func readHead(c *connection, response *fasthttp.Response) error {
+func readHead(c *blpool.Conn, response *fasthttp.Response) error {
 	response.ResetBody()
 	for {
-		err := response.Header.Read(c.reader)
+		err := response.Header.Read(c.Reader())
 		if err != nil {
 			return fmt.Errorf("read response: %w", err)
 		}
@@ -181,7 +183,7 @@
 		x.stream(response, size, reusable)
 		return nil
 	}
-	err := response.ReadBody(x.conn.reader, limit)
+	err := response.ReadBody(x.conn.Reader(), limit)
 	if err != nil {
 		failed := x.classify(err)
 		if failed.reason == basillift.ReasonTarget {
@@ -200,7 +202,7 @@
 	source := fasthttp.AcquireResponse()
 	response.Header.CopyTo(&source.Header)
 	source.StreamBody = true
-	_ = source.ReadBody(x.conn.reader, 0)
+	_ = source.ReadBody(x.conn.Reader(), 0)
 	_ = response.Header.SetTrailer("")
 	response.SetBodyStream(&relay{exchange: x, source: source, reusable: reusable}, max(size, -1))
 }
@@ -213,11 +215,11 @@
 	}
 	x.conn = nil
 	free := x.call.letGo(c)
-	if reusable && free && c.reader.Buffered() == 0 {
-		x.pool.put(time.Now(), c)
+	if reusable && free && c.Reader().Buffered() == 0 {
+		x.pool.Put(time.Now(), c)
 		return
 	}
-	x.pool.discard(c)
+	x.pool.Discard(c)
 }
 
 // relay is the body of a streamed response. fasthttp reads it while it writes to
--- a/basillift/blproxy/hedge.go
+++ b/basillift/blproxy/hedge.go
@@ -88,7 +88,7 @@
 	}
 	h.member = m
 	t.proxy.recordCall(now, t.call, basillift.EventCallRouted, m.ID())
-	h.exchange = &exchange{call: t.call, pool: t.proxy.pools.of(m.Addresses().Mesh()), body: t.body, ctx: t.ctx}
+	h.exchange = &exchange{call: t.call, pool: t.proxy.pools.Of(m.Addresses().Mesh()), body: t.body, ctx: t.ctx}
 	return true
 }
 
--- a/basillift/blproxy/listener.go
+++ b/basillift/blproxy/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"basillift.dev/basillift/blpool"
 )
 
 // listener wraps each accepted connection, so that a handler can find it again
@@ -21,7 +23,7 @@
 		return nil, err //nolint:wrapcheck // fasthttp recognises temporary errors by their type
 	}
 	c := &callerConn{Conn: raw, watcher: l.watcher}
-	descriptor, err := descriptorOf(raw)
+	descriptor, err := blpool.DescriptorOf(raw)
 	if err != nil {
 		return c, nil
 	}
--- a/basillift/blproxy/mesh.go
+++ b/basillift/blproxy/mesh.go
@@ -122,7 +122,7 @@
 		return refuse(basillift.OutcomeNotRun, basillift.ReasonDeadline, "The deadline has passed.")
 	}
 	p.recordCall(now, k, basillift.EventCallStarted, "")
-	x := &exchange{call: k, pool: p.pools.of(p.settings.targetAddress), body: b, ctx: ctx}
+	x := &exchange{call: k, pool: p.pools.Of(p.settings.targetAddress), body: b, ctx: ctx}
 	failed := x.send(now, out, &ctx.Response, p.settings.bufferSize)
 	p.tellObserver(now, k, b, failed)
 	if failed.broke() && b.failed == nil && !k.isCanceled() {
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -13,6 +13,8 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"basillift.dev/basillift/blpool"
+
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmit"
 	"basillift.dev/basillift/blroute"
@@ -29,7 +31,7 @@
 	peers     basillift.Peers
 	calls     CallObserver
 
-	pools    *pools
+	pools    *blpool.Set
 	routes   *routes
 	gate     *gate
 	keys     *keyLedger
@@ -71,7 +73,7 @@
 	p := &Proxy{
 		settings: s, source: source, directory: directory, target: target,
 		observer: observer, recorder: recorder, peers: peers,
-		pools: newPools(s), watcher: w, routes: newRoutes(directory.Self()),
+		pools: blpool.NewSet(s.limits), watcher: w, routes: newRoutes(directory.Self()),
 		keys: newKeyLedger(directory.Self()), guard: newGuard(), quota: newQuota(s.domains),
 		gate: newGate(bladmit.NewSettings(s.slots, s.targetLimit, s.queueLength)),
 	}
@@ -99,8 +101,8 @@
 		IdleTimeout:                  90 * time.Second,
 		ReadTimeout:                  p.settings.longestTimeout + 15*time.Second,
 		WriteTimeout:                 p.settings.longestTimeout,
-		ReadBufferSize:               bufferBytes,
-		WriteBufferSize:              bufferBytes,
+		ReadBufferSize:               blpool.BufferBytes,
+		WriteBufferSize:              blpool.BufferBytes,
 		MaxRequestBodySize:           fasthttp.DefaultMaxRequestBodySize,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
@@ -178,7 +180,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			p.pools.sweep(now)
+			p.pools.Sweep(now)
 			p.observeRoster(ctx, now)
 		}
 	}
@@ -201,7 +203,7 @@
 	// A server that was not serving yet does not know its listener and would serve on.
 	_ = p.onCaller.Close()
 	_ = p.onMesh.Close()
-	p.pools.close()
+	p.pools.Close()
 	return errors.Join(err, p.watcher.close())
 }
 
--- a/basillift/blproxy/settings.go
+++ b/basillift/blproxy/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blpool"
 )
 
 // Recording says which calls are written to the timeline.
@@ -118,3 +119,11 @@
 	s.domains = failureDomains
 	return s
 }
+
+// limits bounds the connections to an address.
+func (s Settings) limits(address string) blpool.Limits {
+	if address == s.targetAddress {
+		return blpool.NewLimits(s.targetLimit, s.targetIdle, s.connectTimeout)
+	}
+	return blpool.NewLimits(s.connections, s.meshIdle, s.connectTimeout)
+}
--- a/basillift/blsettings/file_gen.go
+++ b/basillift/blsettings/file_gen.go
@@ -7,6 +7,10 @@
 	// IP address and port for operators, metrics and health.
 	Admin string `json:"admin"`
 
+	// Requests that all daemons together may send again beyond that share in a window
+	// of 10 s.
+	Allowance int `json:"allowance,omitempty,omitzero"`
+
 	// IP address and port for calls from the VM's own programs and from clients.
 	Caller string `json:"caller"`
 
@@ -26,6 +30,13 @@
 	// Seconds that a stop waits for calls in flight.
 	Drain int `json:"drain,omitempty,omitzero"`
 
+	// How long after SIGTERM the daemon is killed.
+	Grace string `json:"grace,omitempty,omitzero"`
+
+	// How long a target may still be used after the registry knows that it leaves,
+	// e.g. 1500ms.
+	Leaving string `json:"leaving,omitempty,omitzero"`
+
 	// Lowest level that is logged.
 	Level FileLevel `json:"level,omitempty,omitzero"`
 
@@ -47,9 +58,20 @@
 	// Calls that wait for a slot at most.
 	Queue int `json:"queue,omitempty,omitzero"`
 
+	// IP address and port that answer readiness checks; needed for routing by table.
+	Ready string `json:"ready,omitempty,omitzero"`
+
 	// Region of the VM; empty when there is only one.
 	Region string `json:"region,omitempty,omitzero"`
 
+	// Most requests that all daemons together send again, as a share of the requests
+	// for a service.
+	Repeats float64 `json:"repeats,omitempty,omitzero"`
+
+	// What decides where calls go: the lists of customers and plans, or the routing
+	// table that the platform's registry publishes.
+	Routing FileRouting `json:"routing,omitempty,omitzero"`
+
 	// Control addresses of other daemons for the first contact. Without any, the
 	// platform's VM list is used.
 	Seeds []string `json:"seeds,omitempty,omitzero"`
@@ -77,6 +99,11 @@
 const FileLevelInfo FileLevel = "info"
 const FileLevelWarn FileLevel = "warn"
 
+type FileRouting string
+
+const FileRoutingPlans FileRouting = "plans"
+const FileRoutingTable FileRouting = "table"
+
 type FileTrace string
 
 const FileTraceAll FileTrace = "all"
--- a/basillift/blsettings/load.go
+++ b/basillift/blsettings/load.go
@@ -145,6 +145,9 @@
 		{"admin", f.Admin},
 		{"target", f.Target},
 	}
+	if f.Ready != "" || f.Routing == FileRoutingTable {
+		addresses = append(addresses, struct{ field, found string }{"ready", f.Ready})
+	}
 	used := map[string]string{}
 	for _, a := range addresses {
 		if p := checkAddress(a.field, a.found); p != "" {
@@ -193,6 +196,9 @@
 	for _, d := range f.Domains {
 		domains = append(domains, basillift.FailureDomain(d))
 	}
+	// The schema has checked that both are durations.
+	leaving, _ := time.ParseDuration(f.Leaving)
+	grace, _ := time.ParseDuration(f.Grace)
 	return Settings{
 		name:        basillift.VMID(f.Name),
 		place:       basillift.NewPlace(basillift.FailureDomain(f.Domain), basillift.Region(f.Region)),
@@ -212,5 +218,11 @@
 		trace:       Trace(f.Trace),
 		level:       string(f.Level),
 		notify:      f.Notify,
+		routing:     Routing(f.Routing),
+		ready:       f.Ready,
+		leaving:     leaving,
+		grace:       grace,
+		repeats:     f.Repeats,
+		allowance:   f.Allowance,
 	}
 }
--- a/basillift/blsettings/settings.go
+++ b/basillift/blsettings/settings.go
@@ -16,6 +16,15 @@
 	TraceAll     Trace = "all"
 )
 
+// Routing says what decides where calls go.
+type Routing string
+
+// The choices of Routing.
+const (
+	RoutingPlans Routing = "plans"
+	RoutingTable Routing = "table"
+)
+
 // Settings are the checked settings of one daemon.
 type Settings struct {
 	name        basillift.VMID
@@ -36,6 +45,12 @@
 	trace       Trace
 	level       string
 	notify      string
+	routing     Routing
+	ready       string
+	leaving     time.Duration
+	grace       time.Duration
+	repeats     float64
+	allowance   int
 }
 
 // Name is the VM's name.
@@ -92,6 +107,24 @@
 // Notify is the URL that receives notices; empty sends none.
 func (s Settings) Notify() string { return s.notify }
 
+// Routing says what decides where calls go.
+func (s Settings) Routing() Routing { return s.routing }
+
+// Ready is the address that answers readiness checks; empty for none.
+func (s Settings) Ready() string { return s.ready }
+
+// Leaving is how long a target may be used after the registry knows that it leaves.
+func (s Settings) Leaving() time.Duration { return s.leaving }
+
+// Grace is how long after SIGTERM the daemon is killed.
+func (s Settings) Grace() time.Duration { return s.grace }
+
+// Repeats is the share of requests that all daemons may send again.
+func (s Settings) Repeats() float64 { return s.repeats }
+
+// Allowance is how many requests all daemons may send again beyond that share in a window.
+func (s Settings) Allowance() int { return s.allowance }
+
 // Member returns the daemon's first member record.
 func (s Settings) Member(now time.Time) basillift.Member {
 	return basillift.NewMember(s.name, uint64(now.UnixMilli()), s.addresses, s.place, s.service, s.slots)
--- /dev/null
+++ b/basillift/bltable/problem.go
@@ -0,0 +1,82 @@
+package bltable
+
+import (
+	"fmt"
+	"strings"
+
+	"basillift.dev/basillift"
+)
+
+// Problem is one reason why a table is refused.
+type Problem struct {
+	route   string
+	field   string
+	found   string
+	allowed string
+}
+
+// String names the route, the field, what was found and what is allowed.
+func (p Problem) String() string {
+	return fmt.Sprintf("route %q, field %s: found %s, allowed is %s", p.route, p.field, p.found, p.allowed)
+}
+
+// InvalidError refuses a table as a whole. It wraps basillift.ErrRefused.
+type InvalidError struct{ problems []Problem }
+
+// Problems lists all reasons.
+func (e *InvalidError) Problems() []Problem { return e.problems }
+
+// Error joins all problems.
+func (e *InvalidError) Error() string {
+	texts := make([]string, len(e.problems))
+	for i, p := range e.problems {
+		texts[i] = p.String()
+	}
+	return "invalid routing table: " + strings.Join(texts, "; ")
+}
+
+// Unwrap returns basillift.ErrRefused.
+func (e *InvalidError) Unwrap() error { return basillift.ErrRefused }
+
+// check lists what is wrong with a route.
+func (t *Table) check(r *basillift.Route) []Problem {
+	var problems []Problem
+	add := func(field, found, allowed string) {
+		problems = append(problems, Problem{route: r.Name(), field: field, found: found, allowed: allowed})
+	}
+	if r.Host() == "" {
+		add("host", "nothing", "a host name")
+	}
+	if !strings.HasPrefix(r.Prefix(), "/") || !strings.HasSuffix(r.Prefix(), "/") {
+		add("prefix", fmt.Sprintf("%q", r.Prefix()), "a path that begins and ends with a slash")
+	}
+	switch r.Kind() {
+	case basillift.KindIdempotent, basillift.KindNonIdempotent, basillift.KindUpload:
+	default:
+		add("kind", fmt.Sprintf("%q", r.Kind()), "idempotent, non-idempotent or upload")
+	}
+	if r.Timeout() < 0 || r.Goal() < 0 {
+		add("timeout", fmt.Sprintf("%s and goal %s", r.Timeout(), r.Goal()), "times that are not negative")
+	}
+	if r.Attempts() < 1 {
+		add("attempts", fmt.Sprint(r.Attempts()), "1 or more")
+	}
+	t.checkShares(r, add)
+	return problems
+}
+
+func (t *Table) checkShares(r *basillift.Route, add func(field, found, allowed string)) {
+	total := 0
+	for _, s := range r.Shares() {
+		if _, found := t.services[s.Service()]; !found {
+			add("service", fmt.Sprintf("%q", s.Service()), "a declared service")
+		}
+		if s.Weight() < 0 {
+			add("weight", fmt.Sprint(s.Weight()), "0 or more")
+		}
+		total += s.Weight()
+	}
+	if total <= 0 {
+		add("split", "no weight", "at least one service with a weight above 0")
+	}
+}
--- a/basillift/errors.go
+++ b/basillift/errors.go
@@ -10,6 +10,8 @@
 	ErrNotFound = eris.New("key not found")
 	// ErrUnavailable means that a peer or the platform cannot be reached or refuses work for now.
 	ErrUnavailable = eris.New("unavailable")
+	// ErrCompacted means that the registry no longer knows the changes since a revision.
+	ErrCompacted = eris.New("history no longer available")
 	// ErrRefused means that a configuration or message was refused as a whole.
 	ErrRefused = eris.New("refused")
 )
--- /dev/null
+++ b/basillift/load.go
@@ -0,0 +1,28 @@
+package basillift
+
+import "time"
+
+// Load is what the daemon beside a target says of it with each answer.
+type Load struct {
+	running int
+	queued  int
+	slots   int
+	hold    time.Duration
+}
+
+// NewLoad returns the requests that run and wait, the slots, and the mean time for which a request holds a slot.
+func NewLoad(running, queued, slots int, hold time.Duration) Load {
+	return Load{running: running, queued: queued, slots: slots, hold: hold}
+}
+
+// Running is the number of requests that hold a slot.
+func (l Load) Running() int { return l.running }
+
+// Queued is the number of requests that wait.
+func (l Load) Queued() int { return l.queued }
+
+// Slots is how many requests the target runs at once; 0 if it is not known.
+func (l Load) Slots() int { return l.slots }
+
+// Hold is the mean time for which a request holds a slot.
+func (l Load) Hold() time.Duration { return l.hold }
--- /dev/null
+++ b/basillift/routing.go
@@ -0,0 +1,242 @@
+package basillift
+
+import "time"
+
+// RequestKind says what may be repeated of the requests of a route.
+type RequestKind string
+
+// The kinds of requests.
+const (
+	// KindIdempotent requests may run more than once.
+	KindIdempotent RequestKind = "idempotent"
+	// KindNonIdempotent requests run once at most.
+	KindNonIdempotent RequestKind = "non-idempotent"
+	// KindUpload requests have large bodies and run once at most.
+	KindUpload RequestKind = "upload"
+)
+
+// Repeatable reports whether a request of this kind may run again.
+func (k RequestKind) Repeatable() bool { return k == KindIdempotent }
+
+// Share is one of the services among which a route divides its requests.
+type Share struct {
+	service string
+	weight  int
+}
+
+// NewShare returns the share of a service. Weights count relative to those of the other shares.
+func NewShare(service string, weight int) Share { return Share{service: service, weight: weight} }
+
+// Service is the service that gets the share.
+func (s Share) Service() string { return s.service }
+
+// Weight is the share's weight.
+func (s Share) Weight() int { return s.weight }
+
+// Route is one row of the routing table: which requests it takes, where they go and what they may cost.
+type Route struct {
+	name     string
+	host     string
+	prefix   string
+	kind     RequestKind
+	shares   []Share
+	timeout  time.Duration
+	goal     time.Duration
+	priority int
+	attempts int
+}
+
+// NewRoute returns a route with the defaults of all limits: none.
+func NewRoute(name, host, prefix string, k RequestKind, shares ...Share) Route {
+	return Route{name: name, host: host, prefix: prefix, kind: k, shares: shares, attempts: 1}
+}
+
+// WithTimes sets the longest time that a caller is kept waiting and the time
+// within which an answer has its full value. Zero means no limit.
+func (r Route) WithTimes(timeout, goal time.Duration) Route {
+	r.timeout, r.goal = timeout, goal
+	return r
+}
+
+// WithPriority sets the rank among other routes; 0 is the highest.
+func (r Route) WithPriority(priority int) Route {
+	r.priority = priority
+	return r
+}
+
+// WithAttempts sets to how many targets one request may be sent.
+func (r Route) WithAttempts(attempts int) Route {
+	r.attempts = attempts
+	return r
+}
+
+// Name identifies the route.
+func (r Route) Name() string { return r.name }
+
+// Host is the value of the Host header that the route takes.
+func (r Route) Host() string { return r.host }
+
+// Prefix begins the paths that the route takes.
+func (r Route) Prefix() string { return r.prefix }
+
+// Kind says what may be repeated.
+func (r Route) Kind() RequestKind { return r.kind }
+
+// Shares are the services that run the requests; one for a route that is not split.
+func (r Route) Shares() []Share { return r.shares }
+
+// Timeout is the longest time that a caller is kept waiting; 0 for no limit.
+func (r Route) Timeout() time.Duration { return r.timeout }
+
+// Goal is the time within which an answer has its full value; 0 if none is set.
+func (r Route) Goal() time.Duration { return r.goal }
+
+// Priority is the rank among other routes; 0 is the highest.
+func (r Route) Priority() int { return r.priority }
+
+// Attempts is the number of targets to which one request may be sent.
+func (r Route) Attempts() int { return r.attempts }
+
+// ServiceLimits are the bounds of a service's targets.
+type ServiceLimits struct {
+	name        string
+	healthPath  string
+	connections int
+}
+
+// NewServiceLimits returns the health path and the most connections of each target of a service.
+func NewServiceLimits(name, healthPath string, connections int) ServiceLimits {
+	return ServiceLimits{name: name, healthPath: healthPath, connections: connections}
+}
+
+// Name is the service's name.
+func (s ServiceLimits) Name() string { return s.name }
+
+// HealthPath answers 200 while a target is healthy.
+func (s ServiceLimits) HealthPath() string { return s.healthPath }
+
+// Connections is the most connections that a target takes from all sides; 0 for no limit.
+func (s ServiceLimits) Connections() int { return s.connections }
+
+// ClientLimits bound what a caller may send and how long it may take.
+type ClientLimits struct {
+	headerBytes   int
+	bodyBytes     int
+	headerTimeout time.Duration
+	idleTimeout   time.Duration
+}
+
+// NewClientLimits returns limits in bytes and times.
+func NewClientLimits(headerBytes, bodyBytes int, headerTimeout, idleTimeout time.Duration) ClientLimits {
+	return ClientLimits{headerBytes: headerBytes, bodyBytes: bodyBytes, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
+}
+
+// HeaderBytes is the largest header of a request.
+func (l ClientLimits) HeaderBytes() int { return l.headerBytes }
+
+// BodyBytes is the largest body of a request.
+func (l ClientLimits) BodyBytes() int { return l.bodyBytes }
+
+// HeaderTimeout bounds the time from a request's first byte to the end of its header.
+func (l ClientLimits) HeaderTimeout() time.Duration { return l.headerTimeout }
+
+// IdleTimeout bounds the time between two requests of a connection.
+func (l ClientLimits) IdleTimeout() time.Duration { return l.idleTimeout }
+
+// Routing is a published routing table before it is checked.
+type Routing struct {
+	version  uint64
+	routes   []Route
+	services []ServiceLimits
+	limits   ClientLimits
+}
+
+// NewRouting returns the parts of a routing table. Versions only grow.
+func NewRouting(version uint64, routes []Route, services []ServiceLimits, l ClientLimits) Routing {
+	return Routing{version: version, routes: routes, services: services, limits: l}
+}
+
+// Version orders routing tables.
+func (r Routing) Version() uint64 { return r.version }
+
+// Routes are the rows of the table.
+func (r Routing) Routes() []Route { return r.routes }
+
+// Services are the declared services.
+func (r Routing) Services() []ServiceLimits { return r.services }
+
+// Limits bound what callers may send.
+func (r Routing) Limits() ClientLimits { return r.limits }
+
+// Endpoint is what a target says of itself: one run of a server, and where it is reached.
+type Endpoint struct {
+	instance string
+	service  string
+	address  string
+	daemon   string
+	domain   FailureDomain
+	slots    int
+	state    TargetState
+	warmup   time.Duration
+	born     time.Time
+	sequence uint64
+}
+
+// NewEndpoint returns a target's entry. The instance names one run of the target.
+func NewEndpoint(instance, service, address string, domain FailureDomain, slots int, s TargetState) Endpoint {
+	return Endpoint{instance: instance, service: service, address: address, domain: domain, slots: slots, state: s}
+}
+
+// WithStart sets when the target started and how much longer it stays slow.
+func (e Endpoint) WithStart(born time.Time, warmup time.Duration) Endpoint {
+	e.born, e.warmup = born, warmup
+	return e
+}
+
+// WithSequence orders what one run of the target says of itself.
+func (e Endpoint) WithSequence(sequence uint64) Endpoint {
+	e.sequence = sequence
+	return e
+}
+
+// OlderThan reports whether the entry was written before another one of the same
+// key: by an earlier run of the target, or earlier in the same run.
+func (e Endpoint) OlderThan(o Endpoint) bool {
+	if !e.born.Equal(o.born) {
+		return e.born.Before(o.born)
+	}
+	return e.sequence < o.sequence
+}
+
+// WithDaemon sets the address at which the daemon beside the target takes requests.
+func (e Endpoint) WithDaemon(address string) Endpoint {
+	e.daemon = address
+	return e
+}
+
+// Daemon is the address (IP:port) at which the daemon beside the target takes requests.
+func (e Endpoint) Daemon() string { return e.daemon }
+
+// Instance names one run of the target.
+func (e Endpoint) Instance() string { return e.instance }
+
+// Service is the service that the target belongs to.
+func (e Endpoint) Service() string { return e.service }
+
+// Address is the target's own address (IP:port).
+func (e Endpoint) Address() string { return e.address }
+
+// Domain is the target's failure domain.
+func (e Endpoint) Domain() FailureDomain { return e.domain }
+
+// Slots is how many requests the target runs at once; 0 if it does not say.
+func (e Endpoint) Slots() int { return e.slots }
+
+// State is ready or draining.
+func (e Endpoint) State() TargetState { return e.state }
+
+// Warmup is how much longer the target stays slow.
+func (e Endpoint) Warmup() time.Duration { return e.warmup }
+
+// Born is when the target started by its own clock.
+func (e Endpoint) Born() time.Time { return e.born }
--- a/basilliftd/main.go
+++ b/basilliftd/main.go
@@ -35,7 +35,7 @@
 )
 
 type options struct {
-	Settings  string `long:"settings" value-name:"FILE" description:"settings of this daemon, JSON with comments"`
+	Settings  string `long:"settings" env:"BASILLIFT_CONFIG" value-name:"FILE" description:"settings of this daemon, JSON with comments"`
 	Check     bool   `long:"check" description:"check the settings and exit"`
 	Reference bool   `long:"reference" description:"print the page docs/settings.md and exit"`
 	Events    bool   `long:"events" description:"print the page docs/events.md and exit"`
@@ -94,10 +94,7 @@
 		fmt.Fprintln(os.Stderr, "basilliftd:", err)
 		return exitSettings
 	}
-	d, err := build(settings, log)
-	if err == nil {
-		err = d.run(ctx)
-	}
+	err = serveBy(ctx, settings, log)
 	switch {
 	case err == nil:
 		return exitOK
@@ -109,3 +106,19 @@
 		return exitFailed
 	}
 }
+
+// serveBy runs the daemon that the settings ask for.
+func serveBy(ctx context.Context, settings blsettings.Settings, log *bllog.Logger) error {
+	if settings.Routing() == blsettings.RoutingTable {
+		r, err := buildRouted(settings, log)
+		if err != nil {
+			return err
+		}
+		return r.run(ctx)
+	}
+	d, err := build(settings, log)
+	if err != nil {
+		return err
+	}
+	return d.run(ctx)
+}
--- /dev/null
+++ b/basilliftd/routed.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"go.uber.org/dig"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blcourier"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blfollow"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/blsettings"
+	"basillift.dev/basillift/bltable"
+	"basillift.dev/platform"
+)
+
+// stopMargin is how much earlier than its grace ends the daemon gives up waiting for requests in flight.
+const stopMargin = 700 * time.Millisecond
+
+// routed is the daemon that routes by table: the registry tells it the table and the targets.
+type routed struct {
+	settings blsettings.Settings
+	log      *bllog.Logger
+	tables   *bltable.Holder
+	fleet    *blfleet.Fleet
+	courier  *blcourier.Courier
+	registry basillift.Registry
+	tasks    sync.WaitGroup
+	failed   chan error
+}
+
+// buildRouted makes all parts of the daemon that routes by table.
+func buildRouted(settings blsettings.Settings, log *bllog.Logger) (*routed, error) {
+	c := dig.New()
+	constructors := []any{
+		func() blsettings.Settings { return settings },
+		func() *bllog.Logger { return log },
+		func() *rand.Rand { return rand.New(rand.NewSource(time.Now().UnixNano())) },
+		bltable.NewHolder, blfleet.New, newRegistry, newCourier, newRouted,
+	}
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return nil, fmt.Errorf("wire daemon: %w", err)
+		}
+	}
+	var built *routed
+	if err := c.Invoke(func(r *routed) { built = r }); err != nil {
+		return nil, fmt.Errorf("build daemon: %w", dig.RootCause(err))
+	}
+	return built, nil
+}
+
+func newRegistry(s blsettings.Settings) (basillift.Registry, error) {
+	store, err := platform.NewStore(s.Platform(), s.Addresses().Mesh())
+	if err != nil {
+		return nil, fmt.Errorf("registry: %w", err)
+	}
+	return store, nil
+}
+
+func newCourier(s blsettings.Settings, tables *bltable.Holder, fleet *blfleet.Fleet, rnd *rand.Rand) *blcourier.Courier {
+	settings := blcourier.NewSettings(s.Caller(), s.Addresses().Mesh(), s.Ready()).
+		WithTarget(s.Target(), s.Service(), s.Place().FailureDomain()).
+		WithDialect(platform.Dialect()).
+		WithRepeats(s.Repeats(), s.Allowance()).
+		WithLeaving(s.Leaving())
+	return blcourier.New(settings, tables, fleet, rnd)
+}
+
+func newRouted(s blsettings.Settings, l *bllog.Logger, tables *bltable.Holder, fleet *blfleet.Fleet,
+	courier *blcourier.Courier, registry basillift.Registry,
+) *routed {
+	return &routed{
+		settings: s, log: l, tables: tables, fleet: fleet, courier: courier, registry: registry,
+		failed: make(chan error, 2),
+	}
+}
+
+// run serves until ctx ends or a part fails, and then stops in order.
+func (r *routed) run(ctx context.Context) error {
+	if err := r.courier.Listen(); err != nil {
+		return fmt.Errorf("courier: %w", errors.Join(errListen, err))
+	}
+	serving, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	follower := blfollow.New(r.registry, r, rand.New(rand.NewSource(time.Now().UnixNano())))
+	r.start(func() error { return r.courier.Run(serving) })
+	r.start(func() error { return follower.Run(serving) })
+	r.log.Event(bllog.Started()).Str("domain", string(r.settings.Place().FailureDomain())).Send()
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-r.failed:
+	}
+	r.log.Event(bllog.Stopping()).Send()
+	draining, done := context.WithTimeout(context.Background(), r.settings.Grace()-stopMargin)
+	defer done()
+	r.courier.Drain(draining)
+	cancel()
+	r.tasks.Wait()
+	r.log.Event(bllog.Stopped()).Send()
+	return err
+}
+
+func (r *routed) start(run func() error) {
+	r.tasks.Go(func() {
+		if err := run(); err != nil {
+			r.failed <- err
+		}
+	})
+}
+
+// Replace implements blfollow.Sink.
+func (r *routed) Replace(now time.Time, all []basillift.Publication) {
+	endpoints := make([]basillift.Publication, 0, len(all))
+	for _, p := range all {
+		if !r.adopt(p) {
+			endpoints = append(endpoints, p)
+		}
+	}
+	r.fleet.Replace(now, endpoints)
+	r.courier.Changed(now)
+}
+
+// Apply implements blfollow.Sink.
+func (r *routed) Apply(now time.Time, p basillift.Publication) {
+	if !r.adopt(p) {
+		r.fleet.Apply(now, p)
+	}
+	r.courier.Changed(now)
+}
+
+// adopt takes a routing table and reports whether the publication was one.
+func (r *routed) adopt(p basillift.Publication) bool {
+	table, ok := p.Routing()
+	if !ok {
+		if p.Invalid() != nil {
+			r.log.Event(bllog.VersionRefused()).Err(p.Invalid()).Send()
+		}
+		return false
+	}
+	adopted, err := r.tables.Adopt(table)
+	switch {
+	case err != nil:
+		r.log.Event(bllog.VersionRefused()).Uint64("version", table.Version()).Err(err).Send()
+	case adopted:
+		r.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).Send()
+	}
+	return true
+}
+
+// Lost implements blfollow.Sink.
+func (r *routed) Lost(_ time.Time, err error) {
+	r.log.Event(bllog.PlatformFailed()).Err(err).Send()
+}
+
+// Returned implements blfollow.Sink.
+func (r *routed) Returned(now time.Time) {
+	r.fleet.Returned(now)
+	r.log.Event(bllog.PlatformReturned()).Send()
+}
