--- /dev/null
+++ b/basillift/blfleet/fleet_test.go
@@ -0,0 +1,129 @@
+package blfleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// entry is a publication of a target that was born at a second and has written so often.
+func entry(key string, revision uint64, address string, s basillift.TargetState, born, sequence int) basillift.Publication {
+	e := basillift.NewEndpoint(key, "catalogue", address, "a", 9, s).
+		WithStart(start.Add(time.Duration(born)*time.Second), 0).WithSequence(uint64(sequence))
+	return basillift.NewPublication(key, revision).WithEndpoint(e)
+}
+
+func ready(key string, revision uint64, address string) basillift.Publication {
+	return entry(key, revision, address, basillift.TargetReady, 0, int(revision))
+}
+
+func removal(key string, revision uint64) basillift.Publication {
+	return basillift.NewPublication(key, revision)
+}
+
+func assertTargets(t *testing.T, f *Fleet, want ...string) {
+	t.Helper()
+	targets := f.Targets("catalogue")
+	got := make([]string, 0, len(targets))
+	for _, each := range targets {
+		got = append(got, each.Endpoint().Instance())
+	}
+	if len(got) != len(want) {
+		t.Fatalf("targets %v, want %v", got, want)
+	}
+	for i := range got {
+		if got[i] != want[i] {
+			t.Fatalf("targets %v, want %v", got, want)
+		}
+	}
+}
+
+func TestChanges(t *testing.T) {
+	t.Run("a draining target is not used", func(t *testing.T) {
+		f := New()
+		f.Apply(start, ready("i1", 1, "x:1"))
+		f.Apply(start, ready("i2", 2, "x:2"))
+		f.Apply(start, entry("i1", 3, "x:1", basillift.TargetDraining, 0, 5))
+		assertTargets(t, f, "i2")
+		_, leaving, known := f.At("x:1")
+		is.New(t).True(known && leaving.Equal(start))
+	})
+	t.Run("an unusable entry names no target", func(t *testing.T) {
+		f := New()
+		f.Apply(start, ready("i1", 1, "x:1"))
+		f.Apply(start, basillift.NewPublication("i1", 2).WithInvalid(basillift.ErrRefused))
+		assertTargets(t, f)
+	})
+	t.Run("a listing ends what it lacks", func(t *testing.T) {
+		f := New()
+		f.Apply(start, ready("i1", 1, "x:1"))
+		f.Replace(start, []basillift.Publication{ready("i2", 2, "x:2")})
+		assertTargets(t, f, "i2")
+	})
+	t.Run("a change from before what is known does nothing", func(t *testing.T) {
+		f := New()
+		f.Apply(start, removal("i1", 9))
+		f.Apply(start, ready("i1", 10, "x:1"))
+		f.Apply(start, removal("i1", 9))
+		assertTargets(t, f, "i1")
+	})
+}
+
+// Guards against an old entry that is written late and brings back a target that drains or has left.
+func TestLateEntries(t *testing.T) {
+	t.Run("of the same run", func(t *testing.T) {
+		f := New()
+		f.Apply(start, entry("i1", 1, "x:1", basillift.TargetDraining, 0, 7))
+		f.Apply(start, entry("i1", 2, "x:1", basillift.TargetReady, 0, 6))
+		assertTargets(t, f)
+	})
+	t.Run("of an earlier run", func(t *testing.T) {
+		f := New()
+		f.Apply(start, entry("i1", 1, "x:1", basillift.TargetDraining, 10, 1))
+		f.Apply(start, entry("i1", 2, "x:1", basillift.TargetReady, 0, 60))
+		assertTargets(t, f)
+	})
+	t.Run("after its removal", func(t *testing.T) {
+		f := New()
+		f.Apply(start, entry("i1", 1, "x:1", basillift.TargetReady, 0, 7))
+		f.Apply(start, removal("i1", 2))
+		f.Apply(start, entry("i1", 3, "x:1", basillift.TargetReady, 0, 6))
+		assertTargets(t, f)
+		f.Apply(start, entry("i1", 4, "x:1", basillift.TargetReady, 0, 8))
+		assertTargets(t, f, "i1")
+	})
+	t.Run("a new run under the same id is used", func(t *testing.T) {
+		f := New()
+		f.Apply(start, entry("i1", 1, "x:1", basillift.TargetDraining, 0, 7))
+		f.Apply(start, entry("i1", 2, "x:1", basillift.TargetReady, 10, 1))
+		assertTargets(t, f, "i1")
+	})
+}
+
+// Guards against requests for a service that go to an address that another service has taken over.
+func TestReusedAddress(t *testing.T) {
+	f := New()
+	f.Apply(start, ready("i1", 1, "x:1"))
+	other := basillift.NewEndpoint("i2", "gallery", "x:1", "a", 9, basillift.TargetReady)
+	f.Apply(start, basillift.NewPublication("i2", 2).WithEndpoint(other))
+	assertTargets(t, f)
+	is.New(t).Equal(len(f.Targets("gallery")), 1)
+}
+
+// Guards against a service without targets after an outage in which the registry lost the entries of living ones.
+func TestRegistryReturns(t *testing.T) {
+	f := New()
+	f.Apply(start, ready("i1", 1, "x:1"))
+	f.Apply(start, ready("i2", 2, "x:2"))
+	f.Returned(start)
+	f.Replace(start, nil)
+	assertTargets(t, f, "i1", "i2")
+	f.Apply(start.Add(time.Second), ready("i2", 9, "x:2"))
+	f.Tick(start.Add(returnGrace))
+	assertTargets(t, f, "i2")
+}
--- /dev/null
+++ b/basillift/blfollow/state_test.go
@@ -0,0 +1,97 @@
+package blfollow
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newState() *State { return NewState(start, rand.New(rand.NewSource(1))) }
+
+func publications(keys ...string) []basillift.Publication {
+	all := make([]basillift.Publication, 0, len(keys))
+	for _, k := range keys {
+		all = append(all, basillift.NewPublication(k, 1))
+	}
+	return all
+}
+
+func assertStep(t *testing.T, s Step, kind StepKind, after string, revision uint64) {
+	t.Helper()
+	if s.Kind() != kind || s.After() != after || s.Revision() != revision {
+		t.Errorf("step %s after %q from %d, want %s after %q from %d", s.Kind(), s.After(), s.Revision(), kind, after, revision)
+	}
+}
+
+// Guards against changes that are missed between the pages of a listing.
+func TestPages(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	assertStep(t, s.Next(start), StepList, "", 0)
+	_, complete, _ := s.Listed(start, basillift.NewListing(publications("a"), 7, "a"))
+	is.True(!complete)
+	assertStep(t, s.Next(start), StepList, "a", 0)
+	all, complete, _ := s.Listed(start, basillift.NewListing(publications("b"), 9, ""))
+	is.True(complete)
+	is.Equal(len(all), 2)
+	assertStep(t, s.Next(start), StepChanges, "", 7)
+}
+
+// Guards against a follower that stays behind after the registry has dropped its history.
+func TestCompacted(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	lost := s.Failed(start, fmt.Errorf("watch: %w", basillift.ErrCompacted))
+	is.True(!lost)
+	assertStep(t, s.Next(start), StepList, "", 0)
+	is.Equal(s.Next(start).Pause(), time.Duration(0))
+}
+
+// Guards against an answer from a registry that is behind taking back what is known.
+func TestOldListing(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	s.Changed(start, basillift.NewListing(publications("a"), 9, ""))
+	s.Failed(start, basillift.ErrCompacted)
+	_, complete, _ := s.Listed(start, basillift.NewListing(nil, 8, ""))
+	is.True(!complete)
+	is.True(s.Next(start).Pause() > 0)
+	s.Changed(start, basillift.NewListing(nil, 3, ""))
+	is.Equal(s.revision, uint64(9))
+}
+
+// Guards against a herd of daemons that asks a registry in trouble without pause, and against one that forgets to ask.
+func TestBackoff(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	last := time.Duration(0)
+	for range 12 {
+		s.Failed(start, basillift.ErrUnavailable)
+		pause := s.Next(start).Pause()
+		is.True(pause >= retryFirst/2 && pause <= retryMost)
+		last = pause
+	}
+	is.True(last >= retryMost/2)
+	is.True(s.Changed(start, basillift.NewListing(nil, 8, "")))
+	is.Equal(s.Next(start).Pause(), time.Duration(0))
+}
+
+// Guards against a call to the registry for each of many changes in quick succession.
+func TestStorm(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	s.Changed(start, basillift.NewListing(publications("a"), 8, ""))
+	is.Equal(s.Next(start).Pause(), changePause)
+	is.Equal(s.Next(start.Add(changePause)).Pause(), time.Duration(0))
+}
--- /dev/null
+++ b/basillift/bltable/table_test.go
@@ -0,0 +1,154 @@
+package bltable
+
+import (
+	"errors"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+func service(name string) basillift.ServiceLimits {
+	return basillift.NewServiceLimits(name, "/healthz", 100)
+}
+
+func route(name, prefix string, shares ...basillift.Share) basillift.Route {
+	if len(shares) == 0 {
+		shares = []basillift.Share{basillift.NewShare("catalogue", 1)}
+	}
+	return basillift.NewRoute(name, "shop.example", prefix, basillift.KindIdempotent, shares...).WithAttempts(2)
+}
+
+func routing(version uint64, routes ...basillift.Route) basillift.Routing {
+	services := []basillift.ServiceLimits{service("catalogue"), service("gallery")}
+	return basillift.NewRouting(version, routes, services, basillift.ClientLimits{})
+}
+
+func build(t *testing.T, routes ...basillift.Route) *Table {
+	t.Helper()
+	table, err := Build(routing(1, routes...))
+	is.New(t).NoErr(err)
+	return table
+}
+
+func assertMatch(t *testing.T, table *Table, host, path, want string) {
+	t.Helper()
+	r, found := table.Match(host, path)
+	if want == "" {
+		if found {
+			t.Errorf("%s%s: matched %s, want none", host, path, r.Name())
+		}
+		return
+	}
+	if !found || r.Name() != want {
+		t.Errorf("%s%s: matched %v, want %s", host, path, r, want)
+	}
+}
+
+// Guards against a request that goes where only another route of its host leads.
+func TestMatch(t *testing.T) {
+	table := build(t, route("root", "/a/"), route("deep", "/a/b/"), route("other", "/c/"))
+	cases := []struct{ name, host, path, want string }{
+		{"the longest prefix wins", "shop.example", "/a/b/x", "deep"},
+		{"a prefix ends at a slash", "shop.example", "/a/bc", "root"},
+		{"the prefix itself", "shop.example", "/a/b/", "deep"},
+		{"a path without the last slash is not the prefix", "shop.example", "/c", ""},
+		{"a query is not a path", "shop.example", "/x?/a/", ""},
+		{"an empty query", "shop.example", "/a/?", "root"},
+		{"double slashes are kept", "shop.example", "/a//b/", "root"},
+		{"escapes are not resolved", "shop.example", "/a%2Fb/", ""},
+		{"another host", "other.example", "/a/b/", ""},
+		{"host with port and capitals", "Shop.Example:8080", "/c/x", "other"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assertMatch(t, table, c.host, c.path, c.want) })
+	}
+}
+
+// Guards against a table that is half applied, or refused without saying why.
+func TestBuildRefuses(t *testing.T) {
+	cases := []struct {
+		name  string
+		route basillift.Route
+		want  string
+	}{
+		{"bare prefix", route("r", "a"), "field prefix"},
+		{"prefix without last slash", route("r", "/a"), "field prefix"},
+		{"unknown service", route("r", "/a/", basillift.NewShare("stock", 1)), "field service"},
+		{"no weight", route("r", "/a/", basillift.NewShare("catalogue", 0)), "field split"},
+		{"weight below zero", route("r", "/a/", basillift.NewShare("catalogue", -1), basillift.NewShare("gallery", 5)), "field weight"},
+		{"no attempts", route("r", "/a/").WithAttempts(0), "field attempts"},
+		{"negative time", route("r", "/a/").WithTimes(-time.Second, 0), "field timeout"},
+		{"unknown kind", basillift.NewRoute("r", "h", "/a/", "maybe", basillift.NewShare("catalogue", 1)), "field kind"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := NewHolder()
+			_, err := h.Adopt(routing(1, route("fine", "/b/")))
+			is.NoErr(err)
+			_, err = h.Adopt(routing(2, c.route))
+			is.True(errors.Is(err, basillift.ErrRefused))
+			is.True(strings.Contains(err.Error(), c.want))
+			is.Equal(h.Current().Version(), uint64(1))
+		})
+	}
+}
+
+// Guards against a daemon that goes back to an older table, e.g. from a store that is behind.
+func TestHolderNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder()
+	for _, step := range []struct {
+		version uint64
+		adopted bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}, {8, false}} {
+		adopted, err := h.Adopt(routing(step.version, route("r", "/a/")))
+		is.NoErr(err)
+		is.Equal(adopted, step.adopted)
+	}
+	is.Equal(h.Current().Version(), uint64(9))
+}
+
+// Guards against shares that miss their weights, also when each of many daemons sees few requests.
+func TestDeal(t *testing.T) {
+	r := route("r", "/a/", basillift.NewShare("catalogue", 90), basillift.NewShare("gallery", 10), basillift.NewShare("none", 0))
+	count := func(daemons, requests int) map[string]int {
+		counts := map[string]int{}
+		for d := range daemons {
+			dealer := NewDealer(rand.New(rand.NewSource(int64(d))))
+			for range requests {
+				counts[dealer.Deal(&r)]++
+			}
+		}
+		return counts
+	}
+	t.Run("one daemon, every hundred", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(count(1, 100), map[string]int{"catalogue": 90, "gallery": 10})
+	})
+	t.Run("many daemons, three requests each", func(t *testing.T) {
+		is := is.New(t)
+		c := count(400, 3)
+		is.True(c["gallery"] > 80 && c["gallery"] < 160)
+		is.Equal(c["none"], 0)
+	})
+}
+
+// Guards against a deck of old weights after a change of the table.
+func TestDealAfterChange(t *testing.T) {
+	is := is.New(t)
+	d := NewDealer(rand.New(rand.NewSource(1)))
+	before := route("r", "/a/", basillift.NewShare("catalogue", 1), basillift.NewShare("gallery", 1))
+	after := route("r", "/a/", basillift.NewShare("catalogue", 0), basillift.NewShare("gallery", 1))
+	d.Deal(&before)
+	for range 5 {
+		is.Equal(d.Deal(&after), "gallery")
+	}
+	d.Retain(build(t, route("x", "/x/")))
+	is.Equal(len(d.decks), 0)
+}
