--- a/basillift/blcourier/answer.go
+++ b/basillift/blcourier/answer.go
@@ -34,6 +34,8 @@
 	load       *basillift.Load
 	// close ends the connection behind the answer.
 	close bool
+	// silent is set when nothing came back from the daemon beside the target.
+	silent bool
 	// instance is the target that answered or refused.
 	instance string
 }
@@ -132,13 +134,7 @@
 }
 
 func (a *answer) appendInternal(b []byte) []byte {
-	b = appendField(b, headerOutcome, string(a.outcome))
-	if a.reason != basillift.ReasonNone {
-		b = appendField(b, headerReason, string(a.reason))
-	}
-	if a.retryAfter > 0 {
-		b = appendField(b, headerRetry, microseconds(a.retryAfter))
-	}
+	b = appendField(b, headerHop, a.formatOutcome())
 	if a.load != nil {
 		b = appendField(b, headerLoad, formatLoad(*a.load))
 	}
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -4,8 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
+	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"basillift.dev/basillift"
@@ -15,6 +16,8 @@
 )
 
 const (
+	// answerMargin is the way of an answer between two daemons of a region.
+	answerMargin = 4 * time.Millisecond
 	// comeBack is the Retry-After of a daemon that cannot say better, e.g. before its first routing table.
 	comeBack = 300 * time.Millisecond
 )
@@ -134,7 +137,7 @@
 func (s *callerSide) attempt(ctx context.Context, j *journey) (*answer, blretry.Ending) {
 	c := s.courier
 	now := time.Now()
-	target, found := c.placer.Choose(now, c.fleet.Targets(j.service), j.tried)
+	target, found := c.placer.Choose(now, c.fleet.Targets(j.service), j.tried, s.weight(j))
 	if !found {
 		reason := basillift.ReasonNoTarget
 		if len(j.tried) > 0 {
@@ -146,17 +149,25 @@
 	j.tried = append(j.tried, instance)
 	j.attempts++
 	j.hop.instance = instance
-	c.placer.Started(now, instance)
+	c.placer.Started(now, target)
 	a, ending := s.send(ctx, j, target)
-	c.placer.Ended(time.Now(), instance, result(ctx, ending), a.load)
+	c.placer.Ended(time.Now(), target, result(ctx, ending, a.silent), a.load)
+	if ending == blretry.EndingAnswered {
+		c.sizes.observe(j.route.Name(), len(a.body))
+	}
 	if ending == blretry.EndingRefused && a.retryAfter > 0 && (j.soonest == 0 || a.retryAfter < j.soonest) {
 		j.soonest = a.retryAfter
 	}
 	return a, ending
 }
 
+// weight is how many bytes a request and its answer are expected to have.
+func (s *callerSide) weight(j *journey) int {
+	return len(j.request.body) + max(0, j.request.size-len(j.request.body)) + s.courier.sizes.expected(j.route.Name())
+}
+
 // result is what an ending says of the target.
-func result(ctx context.Context, e blretry.Ending) blplace.Result {
+func result(ctx context.Context, e blretry.Ending, silent bool) blplace.Result {
 	switch {
 	case e == blretry.EndingAnswered:
 		return blplace.ResultAnswered
@@ -164,6 +175,8 @@
 		return blplace.ResultUnreachable
 	case errors.Is(ctx.Err(), context.Canceled):
 		return blplace.ResultCanceled
+	case e == blretry.EndingBroken && (silent || ctx.Err() != nil):
+		return blplace.ResultSilent
 	case e == blretry.EndingFailed:
 		return blplace.ResultFailed
 	case e == blretry.EndingBroken:
@@ -190,7 +203,9 @@
 		if x.unreachable {
 			return notRun(reason, 0), blretry.EndingUnreachable
 		}
-		return unknown(http.StatusBadGateway, reason), blretry.EndingBroken
+		broken := unknown(http.StatusBadGateway, reason)
+		broken.silent = errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded)
+		return broken, blretry.EndingBroken
 	}
 	a := &received.answer
 	a.readInternal()
@@ -223,23 +238,16 @@
 	b := appendRequestLine(nil, j.request)
 	b = appendFields(b, j.request, d.Caller(), d.Instance())
 	b = appendField(b, d.Caller(), s.courier.settings.service)
-	b = appendField(b, headerInstance, j.hop.instance)
-	b = appendField(b, headerLane, j.hop.lane)
-	b = appendField(b, headerRank, strconv.Itoa(j.hop.rank))
-	b = appendField(b, headerWhole, microseconds(j.hop.objective))
-	b = appendField(b, headerGoal, microseconds(j.hop.goal.Sub(now)))
-	b = appendField(b, headerLeft, microseconds(j.hop.deadline.Sub(now)))
-	if j.hop.repeatable {
-		b = appendField(b, headerRepeat, "1")
-	}
+	told := j.hop
+	// The target side gives up a little earlier, so that its own answer arrives in time.
+	told.deadline = told.deadline.Add(-answerMargin)
+	b = appendField(b, headerHop, told.format(now))
 	return append(b, "\r\n"...)
 }
 
 // readInternal takes the internal headers of another daemon's answer.
 func (a *answer) readInternal() {
-	a.outcome = basillift.Outcome(a.header(headerOutcome))
-	a.reason = basillift.Reason(a.header(headerReason))
-	a.retryAfter, _ = parseMicroseconds(a.header(headerRetry))
+	a.parseOutcome(a.header(headerHop))
 	a.load = parseLoad(a.header(headerLoad))
 }
 
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -43,6 +43,7 @@
 	allowance *blretry.Allowance
 	pools     *blpool.Set
 	desk      *desk
+	sizes     *sizes
 	targets   *targetSide
 	callers   *server
 	mesh      *server
@@ -62,7 +63,7 @@
 	c := &Courier{
 		settings: s, tables: tables, fleet: fleet,
 		dealer: bltable.NewDealer(rnd), placer: blplace.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(),
+		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(),
 	}
 	c.leaving.Store(int64(s.leaving))
 	c.targets = &targetSide{courier: c}
--- a/basillift/blcourier/headers.go
+++ b/basillift/blcourier/headers.go
@@ -10,18 +10,11 @@
 
 // The headers between two daemons. Callers cannot set them: all names with the prefix are removed.
 const (
-	headerPrefix   = "Basillift-"
-	headerLane     = "Basillift-Lane"
-	headerRank     = "Basillift-Rank"
-	headerGoal     = "Basillift-Goal-Us"
-	headerWhole    = "Basillift-Objective-Us"
-	headerLeft     = "Basillift-Left-Us"
-	headerRepeat   = "Basillift-Repeatable"
-	headerInstance = "Basillift-Instance"
-	headerOutcome  = "Basillift-Outcome"
-	headerReason   = "Basillift-Reason"
-	headerRetry    = "Basillift-Retry-Us"
-	headerLoad     = "Basillift-Load"
+	headerPrefix = "Basillift-"
+	// headerHop describes a request to the target side, and its outcome to the caller side.
+	headerHop = "Basillift-Hop"
+	// headerLoad tells the target's load.
+	headerLoad = "Basillift-Load"
 )
 
 // connectionHeaders concern one connection only and are never passed on.
@@ -40,9 +33,57 @@
 
 func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
-func parseMicroseconds(text string) (time.Duration, bool) {
-	n, err := strconv.ParseInt(text, 10, 64)
-	return time.Duration(n) * time.Microsecond, err == nil
+// hopFields is the number of values in a hop header of a request.
+const hopFields = 7
+
+// format writes what the target side has to know; times are relative to now.
+func (h hop) format(now time.Time) string {
+	repeatable := "0"
+	if h.repeatable {
+		repeatable = "1"
+	}
+	return strings.Join([]string{
+		h.instance, h.lane, strconv.Itoa(h.rank), repeatable, microseconds(h.objective),
+		microseconds(h.goal.Sub(now)), microseconds(h.deadline.Sub(now)),
+	}, " ")
+}
+
+// parseHop reads what format wrote, for a request that arrived at the given time.
+func parseHop(text string, arrived time.Time) (hop, bool) {
+	fields := strings.Split(text, " ")
+	if len(fields) != hopFields {
+		return hop{}, false
+	}
+	var numbers [hopFields]int64
+	for i := 2; i < hopFields; i++ {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return hop{}, false
+		}
+		numbers[i] = n
+	}
+	after := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	return hop{
+		instance: fields[0], lane: fields[1], rank: int(numbers[2]), repeatable: numbers[3] == 1,
+		objective: after(numbers[4]), goal: arrived.Add(after(numbers[5])), deadline: arrived.Add(after(numbers[6])),
+	}, true
+}
+
+// formatOutcome writes how a request ended.
+func (a *answer) formatOutcome() string {
+	return string(a.outcome) + " " + string(a.reason) + " " + microseconds(a.retryAfter)
+}
+
+// parseOutcome reads what formatOutcome wrote. An answer without it says nothing, so that its outcome is unknown.
+func (a *answer) parseOutcome(text string) {
+	fields := strings.Split(text, " ")
+	if len(fields) != 3 {
+		return
+	}
+	a.outcome, a.reason = basillift.Outcome(fields[0]), basillift.Reason(fields[1])
+	if n, err := strconv.ParseInt(fields[2], 10, 64); err == nil {
+		a.retryAfter = time.Duration(n) * time.Microsecond
+	}
 }
 
 func formatLoad(l basillift.Load) string {
--- a/basillift/blcourier/settings.go
+++ b/basillift/blcourier/settings.go
@@ -16,8 +16,9 @@
 	// connectTimeout bounds opening a connection to another daemon; in one region a round trip takes some
 	// milliseconds, and a lost first packet is sent again only after a second.
 	connectTimeout = 250 * time.Millisecond
-	// silenceLimit ends connections to daemons that do not acknowledge; it stays below most time-outs of routes.
-	silenceLimit = 700 * time.Millisecond
+	// silenceLimit ends connections to daemons that do not acknowledge. A lost packet is sent again after
+	// 200 ms; a second chance would use up the time-outs of short routes.
+	silenceLimit = 400 * time.Millisecond
 	// callerSilence ends connections of callers that are gone without a word.
 	callerSilence = 5 * time.Second
 	// meshIdle is how long a connection to another daemon may be unused; the other side waits longer.
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -42,26 +42,13 @@
 
 // serve implements handler for requests of other daemons.
 func (t *targetSide) serve(ctx context.Context, r *request) *answer {
-	h, ok := readHop(r)
+	h, ok := parseHop(r.header(headerHop), r.arrived)
 	if !ok {
 		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
 	return t.run(ctx, r, h)
 }
 
-// readHop reads the internal headers of a request.
-func readHop(r *request) (hop, bool) {
-	goal, okGoal := parseMicroseconds(r.header(headerGoal))
-	left, okLeft := parseMicroseconds(r.header(headerLeft))
-	whole, okWhole := parseMicroseconds(r.header(headerWhole))
-	rank, err := strconv.Atoi(r.header(headerRank))
-	return hop{
-		instance: r.header(headerInstance), lane: r.header(headerLane), rank: rank,
-		repeatable: r.header(headerRepeat) != "", objective: whole,
-		goal: r.arrived.Add(goal), deadline: r.arrived.Add(left),
-	}, okGoal && okLeft && okWhole && err == nil
-}
-
 // run admits a request and passes it to the target. The answer carries the target's load.
 func (t *targetSide) run(ctx context.Context, r *request, h hop) *answer {
 	a := t.admit(ctx, r, h)
--- a/basillift/blplace/doc.go
+++ b/basillift/blplace/doc.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	target, found := placer.Choose(now, targets, tried)
-//	placer.Started(now, instance)
-//	placer.Ended(now, instance, blplace.ResultAnswered, load)
+//	target, found := placer.Choose(now, targets, tried, bytes)
+//	placer.Started(now, target)
+//	placer.Ended(now, target, blplace.ResultAnswered, load)
 package blplace
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// farSurcharge is the time that a target in another failure domain must save: the way there and back,
-	// and the price of the bytes, which is a twelfth of a request's worth.
-	farSurcharge = 15 * time.Millisecond
+	// farSurcharge and farByte are the time that a target in another failure domain must save: the way there
+	// and back, and the price of the bytes. 60 KB cost as much as 0.4 of an upload's worth, which is what half of
+	// its goal of 400 ms is taken to be worth.
+	farSurcharge = 4 * time.Millisecond
+	farByte      = 3 * time.Microsecond
 	// unknownHold is the assumed slot time of a target that no answer has described.
 	unknownHold = 50 * time.Millisecond
 	// unknownSlots is the assumed number of slots of a target that does not say.
@@ -48,6 +50,8 @@
 	ResultFailed Result = "failed"
 	// ResultBroken means that the connection broke or the answer was of no use.
 	ResultBroken Result = "broken"
+	// ResultSilent means that nothing at all came back in time.
+	ResultSilent Result = "silent"
 	// ResultUnreachable means that the daemon beside the target did not take the request.
 	ResultUnreachable Result = "unreachable"
 	// ResultCanceled means that the caller left or its time was over.
@@ -60,6 +64,15 @@
 	domain basillift.FailureDomain
 	rnd    *rand.Rand
 	peers  map[string]*peer
+	remote map[basillift.FailureDomain]*remote
+}
+
+// remote is what is known of the way to a failure domain.
+type remote struct {
+	// silent is the last target that did not answer, since any other did.
+	silent     string
+	pauses     int
+	pauseUntil time.Time
 }
 
 // peer is what is known of one target.
@@ -76,11 +89,12 @@
 
 // New returns a placer for a daemon in a failure domain.
 func New(domain basillift.FailureDomain, rnd *rand.Rand) *Placer {
-	return &Placer{domain: domain, rnd: rnd, peers: make(map[string]*peer)}
+	return &Placer{domain: domain, rnd: rnd, peers: make(map[string]*peer), remote: make(map[basillift.FailureDomain]*remote)}
 }
 
-// Choose picks a target that is not excluded; false if there is none.
-func (p *Placer) Choose(now time.Time, targets []*blfleet.Target, exclude []string) (*blfleet.Target, bool) {
+// Choose picks a target that is not excluded for a request that has so many bytes
+// with its answer; false if there is none.
+func (p *Placer) Choose(now time.Time, targets []*blfleet.Target, exclude []string, bytes int) (*blfleet.Target, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var near, far, paused []*blfleet.Target
@@ -88,7 +102,7 @@
 		e := t.Endpoint()
 		switch {
 		case slices.Contains(exclude, e.Instance()):
-		case now.Before(p.peer(now, e.Instance()).pauseUntil):
+		case p.paused(now, e):
 			paused = append(paused, t)
 		case e.Domain() == p.domain:
 			near = append(near, t)
@@ -101,7 +115,7 @@
 		// When all targets look bad, the observation is more likely wrong than all of them are.
 		drawn = p.draw(paused, nearDraws)
 	}
-	return p.best(now, drawn)
+	return p.best(now, drawn, bytes)
 }
 
 // draw moves up to count targets that are drawn by lot to the front and returns them.
@@ -114,11 +128,11 @@
 	return from[:count:count]
 }
 
-func (p *Placer) best(now time.Time, drawn []*blfleet.Target) (*blfleet.Target, bool) {
+func (p *Placer) best(now time.Time, drawn []*blfleet.Target, bytes int) (*blfleet.Target, bool) {
 	var best *blfleet.Target
 	var least time.Duration
 	for _, t := range drawn {
-		cost := p.cost(now, t)
+		cost := p.cost(now, t, bytes)
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -127,7 +141,7 @@
 }
 
 // cost is the time that a request is expected to spend at a target, with surcharges.
-func (p *Placer) cost(now time.Time, t *blfleet.Target) time.Duration {
+func (p *Placer) cost(now time.Time, t *blfleet.Target, bytes int) time.Duration {
 	e := t.Endpoint()
 	n := p.peer(now, e.Instance())
 	hold, slots, load := unknownHold, unknownSlots, n.inFlight
@@ -147,37 +161,72 @@
 	cost := hold + hold*time.Duration(over)/time.Duration(slots) + hold*time.Duration(load)/time.Duration(4*slots)
 	cost += time.Duration(n.failures * float64(failureCost))
 	if e.Domain() != p.domain {
-		cost += farSurcharge
+		cost += farSurcharge + time.Duration(bytes)*farByte
 	}
 	return cost
 }
 
 // Started notes that a request is sent to a target.
-func (p *Placer) Started(now time.Time, instance string) {
+func (p *Placer) Started(now time.Time, t *blfleet.Target) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.peer(now, instance).inFlight++
+	p.peer(now, t.Endpoint().Instance()).inFlight++
 }
 
 // Ended notes how a request that was Started ended. The load is nil if none was told.
-func (p *Placer) Ended(now time.Time, instance string, r Result, load *basillift.Load) {
+func (p *Placer) Ended(now time.Time, t *blfleet.Target, r Result, load *basillift.Load) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	n := p.peer(now, instance)
+	n := p.peer(now, t.Endpoint().Instance())
 	n.inFlight = max(0, n.inFlight-1)
 	if load != nil {
 		n.load, n.reported, n.atReport = *load, now, n.inFlight
 	}
+	p.observeWay(now, t.Endpoint(), r)
 	switch r {
 	case ResultAnswered:
 		n.failures -= n.failures * failureWeight
 		n.pauses = 0
 	case ResultFailed, ResultBroken:
 		n.failures += (1 - n.failures) * failureWeight
-	case ResultUnreachable:
+	case ResultUnreachable, ResultSilent:
 		n.pauses++
-		n.pauseUntil = now.Add(min(pauseMost, pauseFirst<<min(n.pauses-1, 8)))
+		n.pauseUntil = now.Add(pause(n.pauses))
+	}
+}
+
+// pause is how long something is left out after its nth failure in a row.
+func pause(n int) time.Duration { return min(pauseMost, pauseFirst<<min(n-1, 8)) }
+
+// observeWay notes what a result says of the way to the target's failure domain:
+// when two targets there are silent in a row, all of it is left out for a while.
+func (p *Placer) observeWay(now time.Time, e basillift.Endpoint, r Result) {
+	if e.Domain() == p.domain {
+		return
+	}
+	w := p.remote[e.Domain()]
+	if w == nil {
+		w = &remote{}
+		p.remote[e.Domain()] = w
+	}
+	switch r {
+	case ResultAnswered, ResultRefused, ResultFailed, ResultBroken:
+		*w = remote{}
+	case ResultSilent, ResultUnreachable:
+		if w.silent != "" && (w.silent != e.Instance() || w.pauses > 0) {
+			w.pauses++
+			w.pauseUntil = now.Add(pause(w.pauses))
+		}
+		w.silent = e.Instance()
+	}
+}
+
+// paused reports whether a target is left out.
+func (p *Placer) paused(now time.Time, e basillift.Endpoint) bool {
+	if w := p.remote[e.Domain()]; w != nil && now.Before(w.pauseUntil) {
+		return true
 	}
+	return now.Before(p.peer(now, e.Instance()).pauseUntil)
 }
 
 func (p *Placer) peer(now time.Time, instance string) *peer {
