A cut failure domain is probed by one request at a time; decision log of requests

Cause: with near targets full, requests were sent one after the other to targets behind a cut, 250 ms each.

--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
-	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -37,7 +37,7 @@
 	hop      hop
 	tried    []string
 	soonest  time.Duration
-	attempts int
+	steps    []step
 }
 
 // serve implements handler for requests of callers.
@@ -64,7 +64,9 @@
 	ctx, cancel := context.WithDeadline(ctx, j.hop.deadline)
 	defer cancel()
 	c.allowance.Requested(r.arrived, j.service, c.fleet.Machines())
-	return s.travel(ctx, j)
+	a := s.travel(ctx, j)
+	c.trail.ended(time.Now(), r.header(c.settings.dialect.RequestID()), table.Version(), j, a)
+	return a
 }
 
 // begin decides what is fixed for all attempts.
@@ -147,11 +149,12 @@
 	}
 	instance := target.Endpoint().Instance()
 	j.tried = append(j.tried, instance)
-	j.attempts++
+	news := c.placer.News(now, instance)
 	j.hop.instance = instance
 	c.placer.Started(now, target)
 	a, ending := s.send(ctx, j, target)
 	c.placer.Ended(time.Now(), target, result(ctx, ending, a.silent), a.load)
+	j.steps = append(j.steps, step{instance: instance, ending: ending, reason: a.reason, took: time.Since(now), news: news})
 	if ending == blretry.EndingAnswered {
 		c.sizes.observe(j.route.Name(), len(a.body))
 	}
@@ -171,12 +174,12 @@
 	switch {
 	case e == blretry.EndingAnswered:
 		return blplace.ResultAnswered
-	case e == blretry.EndingUnreachable:
-		return blplace.ResultUnreachable
 	case errors.Is(ctx.Err(), context.Canceled):
 		return blplace.ResultCanceled
-	case e == blretry.EndingBroken && (silent || ctx.Err() != nil):
+	case silent:
 		return blplace.ResultSilent
+	case e == blretry.EndingUnreachable:
+		return blplace.ResultUnreachable
 	case e == blretry.EndingFailed:
 		return blplace.ResultFailed
 	case e == blretry.EndingBroken:
@@ -199,19 +202,24 @@
 	}
 	received, err := x.run(ctx, now)
 	if err != nil {
-		reason := basillift.ReasonConnectFailed
+		a, e := unknown(http.StatusBadGateway, basillift.ReasonConnectFailed), blretry.EndingBroken
 		if x.unreachable {
-			return notRun(reason, 0), blretry.EndingUnreachable
+			a, e = notRun(basillift.ReasonConnectFailed, 0), blretry.EndingUnreachable
 		}
-		broken := unknown(http.StatusBadGateway, reason)
-		broken.silent = errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded)
-		return broken, blretry.EndingBroken
+		a.silent = silentError(err)
+		return a, e
 	}
 	a := &received.answer
 	a.readInternal()
 	return a, ending(a)
 }
 
+// silentError reports whether an error means that nothing came back, rather than a refusal or a reset.
+func silentError(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // local is the request as the target side expects it.
 func (s *callerSide) local(r *request) *request {
 	n := *r
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blplace"
 	"basillift.dev/basillift/blpool"
 	"basillift.dev/basillift/blretry"
@@ -44,6 +45,7 @@
 	pools     *blpool.Set
 	desk      *desk
 	sizes     *sizes
+	trail     *trail
 	targets   *targetSide
 	callers   *server
 	mesh      *server
@@ -59,11 +61,11 @@
 }
 
 // New returns a courier that routes by the holder's table to the fleet's targets.
-func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, rnd *rand.Rand) *Courier {
+func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *Courier {
 	c := &Courier{
 		settings: s, tables: tables, fleet: fleet,
 		dealer: bltable.NewDealer(rnd), placer: blplace.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(),
+		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), trail: newTrail(log),
 	}
 	c.leaving.Store(int64(s.leaving))
 	c.targets = &targetSide{courier: c}
--- a/basillift/blcourier/settings.go
+++ b/basillift/blcourier/settings.go
@@ -15,7 +15,7 @@
 	pipelineDepth = 16
 	// connectTimeout bounds opening a connection to another daemon; in one region a round trip takes some
 	// milliseconds, and a lost first packet is sent again only after a second.
-	connectTimeout = 250 * time.Millisecond
+	connectTimeout = 150 * time.Millisecond
 	// silenceLimit ends connections to daemons that do not acknowledge. A lost packet is sent again after
 	// 200 ms; a second chance would use up the time-outs of short routes.
 	silenceLimit = 400 * time.Millisecond
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopCut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), NumberingBack(), PlatformReturned(),
-		MemberDied(), Paused(), TargetChanged(), NoticeFailed(), NoticeSent(), LoopFailed(),
+		MemberDied(), Paused(), TargetChanged(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesLeftOut(),
 	}
 }
 
@@ -108,6 +108,16 @@
 	return Entry{600, zerolog.ErrorLevel, "duty failed", "report the stack of the line as a defect"}
 }
 
+// RequestEnded is logged for a request that was refused, failed, was late or was sent to several targets.
+func RequestEnded() Entry {
+	return Entry{700, zerolog.InfoLevel, "request ended", "see docs/OPERATIONS.md, from the id to the cause"}
+}
+
+// LinesLeftOut is logged when lines about requests were left out to bound their number.
+func LinesLeftOut() Entry {
+	return Entry{701, zerolog.InfoLevel, "lines about requests left out", "none; the counters have all of them"}
+}
+
 // Page returns docs/events.md, generated from the catalogue and the timeline's kinds.
 func Page() string {
 	var page strings.Builder
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -28,6 +28,8 @@
 	// round trips, the last well below the time a restarted target may stay unused.
 	pauseFirst = 150 * time.Millisecond
 	pauseMost  = 2 * time.Second
+	// probeTime is how long the result of one request after a pause is waited for before the next one.
+	probeTime = 200 * time.Millisecond
 	// failureWeight is the share of a new observation in the failure rate.
 	failureWeight = 0.1
 	// failureCost is the time that a request at a target that always fails is worth.
@@ -98,11 +100,14 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var near, far, paused []*blfleet.Target
+	sound := false
 	for _, t := range targets {
 		e := t.Endpoint()
+		bad := p.paused(now, e)
+		sound = sound || !bad
 		switch {
 		case slices.Contains(exclude, e.Instance()):
-		case p.paused(now, e):
+		case bad:
 			paused = append(paused, t)
 		case e.Domain() == p.domain:
 			near = append(near, t)
@@ -111,11 +116,26 @@
 		}
 	}
 	drawn := append(p.draw(near, nearDraws), p.draw(far, max(farDraws, nearDraws-len(near)))...)
-	if len(drawn) == 0 {
+	if len(drawn) == 0 && !sound {
 		// When all targets look bad, the observation is more likely wrong than all of them are.
 		drawn = p.draw(paused, nearDraws)
 	}
-	return p.best(now, drawn, bytes)
+	best, found := p.best(now, drawn, bytes)
+	if found {
+		p.probe(now, best.Endpoint())
+	}
+	return best, found
+}
+
+// probe keeps others from a target or a way that is tried again after a pause, until the result is known.
+func (p *Placer) probe(now time.Time, e basillift.Endpoint) {
+	until := now.Add(probeTime)
+	if n := p.peer(now, e.Instance()); n.pauses > 0 && n.pauseUntil.Before(until) {
+		n.pauseUntil = until
+	}
+	if w := p.remote[e.Domain()]; w != nil && w.pauses > 0 && w.pauseUntil.Before(until) {
+		w.pauseUntil = until
+	}
 }
 
 // draw moves up to count targets that are drawn by lot to the front and returns them.
@@ -186,7 +206,9 @@
 	switch r {
 	case ResultAnswered:
 		n.failures -= n.failures * failureWeight
-		n.pauses = 0
+		n.pauses, n.pauseUntil = 0, time.Time{}
+	case ResultRefused:
+		n.pauses, n.pauseUntil = 0, time.Time{}
 	case ResultFailed, ResultBroken:
 		n.failures += (1 - n.failures) * failureWeight
 	case ResultUnreachable, ResultSilent:
@@ -210,9 +232,9 @@
 		p.remote[e.Domain()] = w
 	}
 	switch r {
-	case ResultAnswered, ResultRefused, ResultFailed, ResultBroken:
+	case ResultAnswered, ResultRefused, ResultFailed, ResultBroken, ResultUnreachable:
 		*w = remote{}
-	case ResultSilent, ResultUnreachable:
+	case ResultSilent:
 		if w.silent != "" && (w.silent != e.Instance() || w.pauses > 0) {
 			w.pauses++
 			w.pauseUntil = now.Add(pause(w.pauses))
@@ -239,6 +261,17 @@
 	return n
 }
 
+// News is the age of the load report of a target; 0 if there is none.
+func (p *Placer) News(now time.Time, instance string) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	n := p.peers[instance]
+	if n == nil || n.reported.IsZero() {
+		return 0
+	}
+	return now.Sub(n.reported)
+}
+
 // Forget drops what is known of targets that were not looked at for a while.
 func (p *Placer) Forget(now time.Time, after time.Duration) {
 	p.mutex.Lock()
--- a/basilliftd/main.go
+++ b/basilliftd/main.go
@@ -20,6 +20,7 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog/diode"
 
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blsettings"
@@ -34,6 +35,9 @@
 	exitListen   = 4
 )
 
+// logRing is how many log lines may wait to be written: some seconds of the lines about requests.
+const logRing = 1000
+
 type options struct {
 	Settings  string `long:"settings" env:"BASILLIFT_CONFIG" value-name:"FILE" description:"settings of this daemon, JSON with comments"`
 	Check     bool   `long:"check" description:"check the settings and exit"`
@@ -89,7 +93,12 @@
 func serve(path string, settings blsettings.Settings) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	log, err := bllog.New(os.Stderr, settings.Level(), settings.Name())
+	// Logging never waits for whoever reads it; what does not fit is counted.
+	lines := diode.NewWriter(os.Stderr, logRing, 0, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"message\":\"log lines dropped\",\"count\":%d}\n", missed)
+	})
+	defer func() { _ = lines.Close() }()
+	log, err := bllog.New(lines, settings.Level(), settings.Name())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "basilliftd:", err)
 		return exitSettings
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -72,13 +72,13 @@
 	return store, nil
 }
 
-func newCourier(s blsettings.Settings, tables *bltable.Holder, fleet *blfleet.Fleet, rnd *rand.Rand) *blcourier.Courier {
+func newCourier(s blsettings.Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *blcourier.Courier {
 	settings := blcourier.NewSettings(s.Caller(), s.Addresses().Mesh(), s.Ready()).
 		WithTarget(s.Target(), s.Service(), s.Place().FailureDomain()).
 		WithDialect(platform.Dialect()).
 		WithRepeats(s.Repeats(), s.Allowance()).
 		WithLeaving(s.Leaving())
-	return blcourier.New(settings, tables, fleet, rnd)
+	return blcourier.New(settings, tables, fleet, log, rnd)
 }
 
 func newRouted(s blsettings.Settings, l *bllog.Logger, tables *bltable.Holder, fleet *blfleet.Fleet,
