Place by the probability to miss the goal against the price of bytes

Cause: a slower near target lost against a faster far one also where both keep the goal. Change: a target's cost is what the request is expected to lose there: lateness by the normal tail, failures, and the bytes to another failure domain; lanes have a time relative to their target's mean.

--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -31,13 +31,13 @@
 
 // journey is a request on its way through its attempts.
 type journey struct {
-	request  *request
-	route    *basillift.Route
-	service  string
-	hop      hop
-	tried    []string
-	soonest  time.Duration
-	steps    []step
+	request *request
+	route   *basillift.Route
+	service string
+	hop     hop
+	tried   []string
+	soonest time.Duration
+	steps   []step
 }
 
 // serve implements handler for requests of callers.
@@ -139,7 +139,8 @@
 func (s *callerSide) attempt(ctx context.Context, j *journey) (*answer, blretry.Ending) {
 	c := s.courier
 	now := time.Now()
-	target, found := c.placer.Choose(now, c.fleet.Targets(j.service), j.tried, s.weight(j))
+	ask := blplace.NewAsk(j.route.Name(), s.weight(j), j.hop.goal)
+	target, found := c.placer.Choose(now, c.fleet.Targets(j.service), j.tried, ask)
 	if !found {
 		reason := basillift.ReasonNoTarget
 		if len(j.tried) > 0 {
@@ -153,8 +154,9 @@
 	j.hop.instance = instance
 	c.placer.Started(now, target)
 	a, ending := s.send(ctx, j, target)
-	c.placer.Ended(time.Now(), target, result(ctx, ending, a.silent), a.load)
-	j.steps = append(j.steps, step{instance: instance, ending: ending, reason: a.reason, took: time.Since(now), news: news})
+	ended := time.Now()
+	c.placer.Ended(ended, target, ask, result(ctx, ending, a.silent), ended.Sub(now), a.load)
+	j.steps = append(j.steps, step{instance: instance, ending: ending, reason: a.reason, took: ended.Sub(now), news: news})
 	if ending == blretry.EndingAnswered {
 		c.sizes.observe(j.route.Name(), len(a.body))
 	}
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -57,7 +57,7 @@
 	leaving atomic.Int64
 	// denials counts the readiness checks that a stopping daemon has answered.
 	denials atomic.Int32
-	tasks     sync.WaitGroup
+	tasks   sync.WaitGroup
 }
 
 // New returns a courier that routes by the holder's table to the fleet's targets.
--- a/basillift/blplace/doc.go
+++ b/basillift/blplace/doc.go
@@ -2,16 +2,17 @@
 // what the daemons beside the targets said last of their load.
 //
 // Each answer carries the load of its target. Between two answers the chooser adds
-// what it sent itself. A target is as good as the time that a request is expected
-// to spend there: waiting, running and on the way; a target in another failure
-// domain has a surcharge, since bytes between failure domains are paid for. Two near and one
-// far target are drawn by lot and the best of them taken, so that
+// what it sent itself. The cost of a target is the share of its worth that the request is
+// expected to lose there: by an answer after its goal, by a failure, and by the bytes
+// to another failure domain, which are paid for. A slower near target is good enough while the goal
+// is safe. A few near and far targets are drawn by lot and the best of them taken, so that
 // daemons with the same news do not all choose the same target. A target that
-// cannot be reached or breaks is left out for a time that doubles.
+// cannot be reached or stays silent is left out for a time that doubles; so is a whole failure
+// domain when two of its targets stay silent in a row.
 //
 // # Usage
 //
-//	target, found := placer.Choose(now, targets, tried, bytes)
+//	target, found := placer.Choose(now, targets, tried, ask)
 //	placer.Started(now, target)
-//	placer.Ended(now, target, blplace.ResultAnswered, load)
+//	placer.Ended(now, target, ask, blplace.ResultAnswered, took, load)
 package blplace
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -1,6 +1,7 @@
 package blplace
 
 import (
+	"math"
 	"math/rand"
 	"slices"
 	"sync"
@@ -11,11 +12,17 @@
 )
 
 const (
-	// farSurcharge and farByte are the time that a target in another failure domain must save: the way there
-	// and back, and the price of the bytes. 60 KB cost as much as 0.4 of an upload's worth, which is what half of
-	// its goal of 400 ms is taken to be worth.
-	farSurcharge = 4 * time.Millisecond
-	farByte      = 3 * time.Microsecond
+	// farTime is the way to another failure domain and back.
+	farTime = 2 * time.Millisecond
+	// farByte is the price of a byte to another failure domain, as a share of a request's worth: the users'
+	// price list makes 100 KB cost about as much as a request brings.
+	farByte = 1e-5
+	// lateLoss is the share of its worth that an answer after its goal loses.
+	lateLoss = 0.7
+	// spread is the deviation of the time at a target, as a share of that time.
+	spread = 0.4
+	// fullness is what a full target costs beside the wait, so that load is shared before anybody waits.
+	fullness = 0.02
 	// unknownHold is the assumed slot time of a target that no answer has described.
 	unknownHold = 50 * time.Millisecond
 	// unknownSlots is the assumed number of slots of a target that does not say.
@@ -32,8 +39,10 @@
 	probeTime = 200 * time.Millisecond
 	// failureWeight is the share of a new observation in the failure rate.
 	failureWeight = 0.1
-	// failureCost is the time that a request at a target that always fails is worth.
-	failureCost = time.Second
+	// laneWeight is the share of a new observation in the relative time of a lane.
+	laneWeight = 1.0 / 32
+	// lanesMost bounds how many lanes are remembered.
+	lanesMost = 4096
 	// nearDraws and farDraws are how many targets are compared.
 	nearDraws = 3
 	farDraws  = 1
@@ -60,6 +69,18 @@
 	ResultCanceled Result = "canceled"
 )
 
+// Ask describes a request that needs a target. Requests of one lane take a similar time.
+type Ask struct {
+	lane  string
+	bytes int
+	goal  time.Time
+}
+
+// NewAsk returns the ask of a request that has so many bytes with its answer and is to be answered by the goal.
+func NewAsk(lane string, bytes int, goal time.Time) Ask {
+	return Ask{lane: lane, bytes: bytes, goal: goal}
+}
+
 // Placer chooses targets for the requests of one daemon. It is safe for concurrent use.
 type Placer struct {
 	mutex  sync.Mutex
@@ -67,6 +88,8 @@
 	rnd    *rand.Rand
 	peers  map[string]*peer
 	remote map[basillift.FailureDomain]*remote
+	// lanes is how long requests of a lane take, relative to the mean of their target.
+	lanes map[string]float64
 }
 
 // remote is what is known of the way to a failure domain.
@@ -91,12 +114,11 @@
 
 // New returns a placer for a daemon in a failure domain.
 func New(domain basillift.FailureDomain, rnd *rand.Rand) *Placer {
-	return &Placer{domain: domain, rnd: rnd, peers: make(map[string]*peer), remote: make(map[basillift.FailureDomain]*remote)}
+	return &Placer{domain: domain, rnd: rnd, peers: make(map[string]*peer), remote: make(map[basillift.FailureDomain]*remote), lanes: make(map[string]float64)}
 }
 
-// Choose picks a target that is not excluded for a request that has so many bytes
-// with its answer; false if there is none.
-func (p *Placer) Choose(now time.Time, targets []*blfleet.Target, exclude []string, bytes int) (*blfleet.Target, bool) {
+// Choose picks a target that is not excluded; false if there is none.
+func (p *Placer) Choose(now time.Time, targets []*blfleet.Target, exclude []string, a Ask) (*blfleet.Target, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var near, far, paused []*blfleet.Target
@@ -120,7 +142,7 @@
 		// When all targets look bad, the observation is more likely wrong than all of them are.
 		drawn = p.draw(paused, nearDraws)
 	}
-	best, found := p.best(now, drawn, bytes)
+	best, found := p.best(now, drawn, a)
 	if found {
 		p.probe(now, best.Endpoint())
 	}
@@ -148,11 +170,11 @@
 	return from[:count:count]
 }
 
-func (p *Placer) best(now time.Time, drawn []*blfleet.Target, bytes int) (*blfleet.Target, bool) {
+func (p *Placer) best(now time.Time, drawn []*blfleet.Target, a Ask) (*blfleet.Target, bool) {
 	var best *blfleet.Target
-	var least time.Duration
+	var least float64
 	for _, t := range drawn {
-		cost := p.cost(now, t, bytes)
+		cost := p.cost(now, t, a)
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -160,30 +182,65 @@
 	return best, best != nil
 }
 
-// cost is the time that a request is expected to spend at a target, with surcharges.
-func (p *Placer) cost(now time.Time, t *blfleet.Target, bytes int) time.Duration {
+// cost is what a request is expected to lose at a target, as a share of its worth: by being late, by
+// failing, and by the bytes to another failure domain.
+func (p *Placer) cost(now time.Time, t *blfleet.Target, a Ask) float64 {
 	e := t.Endpoint()
 	n := p.peer(now, e.Instance())
-	hold, slots, load := unknownHold, unknownSlots, n.inFlight
+	slots, load := unknownSlots, n.inFlight
 	if e.Slots() > 0 {
 		slots = e.Slots()
 	}
+	if now.Sub(n.reported) < newsLifetime {
+		load = max(load, n.load.Running()+n.load.Queued()+n.inFlight-n.atReport)
+	}
+	hold := n.hold(now, t)
+	expected := hold * p.laneFactor(a.lane)
+	expected += hold * float64(max(0, load+1-slots)) / float64(slots)
+	cost := n.failures + fullness*float64(load)/float64(slots)
+	if e.Domain() != p.domain {
+		expected += farTime.Seconds()
+		cost += farByte * float64(a.bytes)
+	}
+	return cost + lateLoss*lateness(expected, a.goal.Sub(now).Seconds()) + fullness*expected
+}
+
+// hold is the mean slot time at a target in seconds.
+func (n *peer) hold(now time.Time, t *blfleet.Target) float64 {
+	hold := unknownHold
 	if n.load.Hold() > 0 {
 		hold = n.load.Hold()
 	}
 	if now.Before(t.WarmUntil()) {
 		hold *= coldFactor
 	}
-	if now.Sub(n.reported) < newsLifetime {
-		load = max(load, n.load.Running()+n.load.Queued()+n.inFlight-n.atReport)
+	return hold.Seconds()
+}
+
+// lateness is the probability that a request takes longer than what is left, if it
+// is expected to take a time, both in seconds: the normal distribution's tail, by the logistic function.
+func lateness(expected, left float64) float64 {
+	z := (left - expected) / (spread * expected)
+	return 1 / (1 + math.Exp(1.702*z))
+}
+
+func (p *Placer) laneFactor(lane string) float64 {
+	if f, known := p.lanes[lane]; known {
+		return f
 	}
-	over := max(0, load+1-slots)
-	cost := hold + hold*time.Duration(over)/time.Duration(slots) + hold*time.Duration(load)/time.Duration(4*slots)
-	cost += time.Duration(n.failures * float64(failureCost))
-	if e.Domain() != p.domain {
-		cost += farSurcharge + time.Duration(bytes)*farByte
+	return 1
+}
+
+// observeLane notes how long a request took beside the mean of its target.
+func (p *Placer) observeLane(lane string, ratio float64) {
+	f, known := p.lanes[lane]
+	if !known && len(p.lanes) >= lanesMost {
+		clear(p.lanes)
 	}
-	return cost
+	if !known {
+		f = 1
+	}
+	p.lanes[lane] = f + (ratio-f)*laneWeight
 }
 
 // Started notes that a request is sent to a target.
@@ -193,14 +250,17 @@
 	p.peer(now, t.Endpoint().Instance()).inFlight++
 }
 
-// Ended notes how a request that was Started ended. The load is nil if none was told.
-func (p *Placer) Ended(now time.Time, t *blfleet.Target, r Result, load *basillift.Load) {
+// Ended notes how a request that was Started ended, and how long it took. The load is nil if none was told.
+func (p *Placer) Ended(now time.Time, t *blfleet.Target, a Ask, r Result, took time.Duration, load *basillift.Load) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	n := p.peer(now, t.Endpoint().Instance())
 	n.inFlight = max(0, n.inFlight-1)
 	if load != nil {
 		n.load, n.reported, n.atReport = *load, now, n.inFlight
+		if r == ResultAnswered && load.Queued() == 0 && load.Hold() > 0 {
+			p.observeLane(a.lane, took.Seconds()/load.Hold().Seconds())
+		}
 	}
 	p.observeWay(now, t.Endpoint(), r)
 	switch r {
