Fewer calls to the store: longer waits, and daemons tell each other of news

Cause: each daemon asked the store every 3 s and after each change of a storm; the short wait was for lost answers.

--- a/basillift/blcourier/answer.go
+++ b/basillift/blcourier/answer.go
@@ -34,6 +34,8 @@
 	load       *basillift.Load
 	// close ends the connection behind the answer.
 	close bool
+	// seen is the newest revision of the registry that the target side has seen.
+	seen uint64
 	// silent is set when nothing came back from the daemon beside the target.
 	silent bool
 	// instance is the target that answered or refused.
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -213,6 +213,7 @@
 	}
 	a := &received.answer
 	a.readInternal()
+	c.news.Hear(a.seen)
 	return a, ending(a)
 }
 
@@ -249,6 +250,7 @@
 	b = appendFields(b, j.request, d.Caller(), d.Instance())
 	b = appendField(b, d.Caller(), s.courier.settings.service)
 	told := j.hop
+	told.seen = s.courier.news.Seen()
 	// The target side gives up a little earlier, so that its own answer arrives in time.
 	told.deadline = told.deadline.Add(-answerMargin)
 	b = appendField(b, headerHop, told.format(now))
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"basillift.dev/basillift"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blplace"
@@ -46,6 +47,7 @@
 	desk      *desk
 	sizes     *sizes
 	trail     *trail
+	news      basillift.Freshness
 	targets   *targetSide
 	callers   *server
 	mesh      *server
@@ -75,6 +77,10 @@
 	return c
 }
 
+// Follow tells the courier what compares its knowledge of the registry with that of
+// other daemons. It must be called before Run.
+func (c *Courier) Follow(f basillift.Freshness) { c.news = f }
+
 // Listen opens all addresses.
 func (c *Courier) Listen() error {
 	if err := c.mesh.listen(); err != nil {
--- a/basillift/blcourier/headers.go
+++ b/basillift/blcourier/headers.go
@@ -34,7 +34,7 @@
 func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
 // hopFields is the number of values in a hop header of a request.
-const hopFields = 7
+const hopFields = 8
 
 // format writes what the target side has to know; times are relative to now.
 func (h hop) format(now time.Time) string {
@@ -44,7 +44,7 @@
 	}
 	return strings.Join([]string{
 		h.instance, h.lane, strconv.Itoa(h.rank), repeatable, microseconds(h.objective),
-		microseconds(h.goal.Sub(now)), microseconds(h.deadline.Sub(now)),
+		microseconds(h.goal.Sub(now)), microseconds(h.deadline.Sub(now)), strconv.FormatUint(h.seen, 10),
 	}, " ")
 }
 
@@ -66,24 +66,27 @@
 	return hop{
 		instance: fields[0], lane: fields[1], rank: int(numbers[2]), repeatable: numbers[3] == 1,
 		objective: after(numbers[4]), goal: arrived.Add(after(numbers[5])), deadline: arrived.Add(after(numbers[6])),
+		seen: uint64(numbers[7]),
 	}, true
 }
 
 // formatOutcome writes how a request ended.
 func (a *answer) formatOutcome() string {
-	return string(a.outcome) + " " + string(a.reason) + " " + microseconds(a.retryAfter)
+	return string(a.outcome) + " " + string(a.reason) + " " + microseconds(a.retryAfter) + " " + strconv.FormatUint(a.seen, 10)
 }
 
 // parseOutcome reads what formatOutcome wrote. An answer without it says nothing, so that its outcome is unknown.
 func (a *answer) parseOutcome(text string) {
 	fields := strings.Split(text, " ")
-	if len(fields) != 3 {
+	if len(fields) != 4 {
 		return
 	}
 	a.outcome, a.reason = basillift.Outcome(fields[0]), basillift.Reason(fields[1])
 	if n, err := strconv.ParseInt(fields[2], 10, 64); err == nil {
 		a.retryAfter = time.Duration(n) * time.Microsecond
 	}
+	// A number that cannot be read is no news.
+	a.seen, _ = strconv.ParseUint(fields[3], 10, 64)
 }
 
 func formatLoad(l basillift.Load) string {
--- a/basillift/blcourier/server.go
+++ b/basillift/blcourier/server.go
@@ -57,7 +57,7 @@
 func (s *server) serve(ctx context.Context, conn net.Conn) {
 	if d, err := blpool.DescriptorOf(conn); err == nil {
 		// A connection that cannot be watched is still served.
-		_ = blpool.LimitSilence(conn, d, callerSilence)
+		_ = blpool.LimitSilence(d, callerSilence)
 	}
 	n := newSession(conn, s.handler, s)
 	s.mutex.Lock()
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -25,6 +25,8 @@
 	objective  time.Duration
 	goal       time.Time
 	deadline   time.Time
+	// seen is the newest revision of the registry that the caller side has seen.
+	seen uint64
 }
 
 // targetSide runs requests at the VM's own target.
@@ -46,7 +48,10 @@
 	if !ok {
 		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
-	return t.run(ctx, r, h)
+	t.courier.news.Hear(h.seen)
+	a := t.run(ctx, r, h)
+	a.seen = t.courier.news.Seen()
+	return a
 }
 
 // run admits a request and passes it to the target. The answer carries the target's load.
--- a/basillift/blfollow/follower.go
+++ b/basillift/blfollow/follower.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/common/blwait"
 )
 
+var errGaveUp = eris.New("answer seems to be lost")
+
 // Sink takes what the registry publishes.
 type Sink interface {
 	// Replace takes everything that the registry holds.
@@ -22,60 +28,137 @@
 	Returned(now time.Time)
 }
 
-// Follower asks the registry and hands what it learns to a sink.
+// Follower asks the registry and hands what it learns to a sink. It implements basillift.Freshness.
 type Follower struct {
 	registry basillift.Registry
 	sink     Sink
-	rnd      *rand.Rand
+
+	mutex sync.Mutex
+	state *State
+	// giveUp ends the wait for changes that is in progress.
+	giveUp context.CancelFunc
 }
 
 // New returns a follower.
 func New(r basillift.Registry, s Sink, rnd *rand.Rand) *Follower {
-	return &Follower{registry: r, sink: s, rnd: rnd}
+	return &Follower{registry: r, sink: s, state: NewState(time.Now(), rnd)}
 }
 
 // Run follows the registry until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	state := NewState(time.Now(), f.rnd)
 	for {
-		step := state.Next(time.Now())
+		step := f.next(time.Now())
 		if step.Pause() > 0 && !blwait.For(ctx, step.Pause()) || ctx.Err() != nil {
 			return nil
 		}
-		if err := f.ask(ctx, state, step); err != nil && ctx.Err() == nil {
-			if now := time.Now(); state.Failed(now, err) {
-				f.sink.Lost(now, err)
-			}
+		if err := f.ask(ctx, step); err != nil && ctx.Err() == nil {
+			f.failed(time.Now(), err)
 		}
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, s *State, step Step) error {
+func (f *Follower) next(now time.Time) Step {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Next(now)
+}
+
+// failed notes a failure, unless the wait was given up on purpose.
+func (f *Follower) failed(now time.Time, err error) {
+	f.mutex.Lock()
+	if errors.Is(err, errGaveUp) {
+		f.state.GaveUp()
+		f.mutex.Unlock()
+		return
+	}
+	lost := f.state.Failed(now, err)
+	f.mutex.Unlock()
+	if lost {
+		f.sink.Lost(now, err)
+	}
+}
+
+// Seen implements basillift.Freshness.
+func (f *Follower) Seen() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.Seen()
+}
+
+// Hear implements basillift.Freshness.
+func (f *Follower) Hear(revision uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	if due, behind := f.state.Hear(now, revision); behind {
+		time.AfterFunc(due.Sub(now), f.check)
+	}
+}
+
+// check gives up a wait whose answer seems to be lost.
+func (f *Follower) check() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.giveUp != nil && f.state.Overdue(time.Now()) {
+		f.giveUp()
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, step Step) error {
 	if step.Kind() == StepList {
-		l, err := f.registry.List(ctx, step.After())
-		if err != nil {
-			return fmt.Errorf("list registry: %w", err)
-		}
-		now := time.Now()
-		all, complete, returned := s.Listed(now, l)
-		f.greet(now, returned)
-		if complete {
-			f.sink.Replace(now, all)
-		}
-		return nil
+		return f.list(ctx, step)
 	}
-	l, err := f.registry.Changes(ctx, step.Revision(), step.Wait())
+	l, err := f.await(ctx, step)
 	if err != nil {
-		return fmt.Errorf("wait for changes: %w", err)
+		return err
 	}
 	now := time.Now()
-	f.greet(now, s.Changed(now, l))
+	f.mutex.Lock()
+	returned := f.state.Changed(now, l)
+	f.mutex.Unlock()
+	f.greet(now, returned)
 	for _, p := range l.Publications() {
 		f.sink.Apply(now, p)
 	}
 	return nil
 }
 
+func (f *Follower) list(ctx context.Context, step Step) error {
+	l, err := f.registry.List(ctx, step.After())
+	if err != nil {
+		return fmt.Errorf("list registry: %w", err)
+	}
+	now := time.Now()
+	f.mutex.Lock()
+	all, complete, returned := f.state.Listed(now, l)
+	f.mutex.Unlock()
+	f.greet(now, returned)
+	if complete {
+		f.sink.Replace(now, all)
+	}
+	return nil
+}
+
+// await waits for changes; check may give it up.
+func (f *Follower) await(ctx context.Context, step Step) (basillift.Listing, error) {
+	waiting, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	f.mutex.Lock()
+	f.giveUp = giveUp
+	f.mutex.Unlock()
+	l, err := f.registry.Changes(waiting, step.Revision(), step.Wait())
+	f.mutex.Lock()
+	f.giveUp = nil
+	f.mutex.Unlock()
+	switch {
+	case err != nil && waiting.Err() != nil && ctx.Err() == nil:
+		return l, fmt.Errorf("wait for changes: %w", errGaveUp)
+	case err != nil:
+		return l, fmt.Errorf("wait for changes: %w", err)
+	}
+	return l, nil
+}
+
 func (f *Follower) greet(now time.Time, returned bool) {
 	if returned {
 		f.sink.Returned(now)
--- a/basillift/blfollow/state.go
+++ b/basillift/blfollow/state.go
@@ -9,16 +9,19 @@
 )
 
 const (
-	// changeWait is how long the registry may hold a request for changes. It bounds how long a lost answer
-	// can hide changes: in force within 2 s, and 3 s to be in touch again, leave 5 s.
-	changeWait = 3 * time.Second
+	// changeWait is how long the registry may hold a request for changes. An answer that was lost is noticed
+	// earlier, by what other daemons have seen; this bounds the time where all answers were lost.
+	changeWait = 8 * time.Second
 	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
-	changePause = 150 * time.Millisecond
+	changePause = 400 * time.Millisecond
 	// retryFirst and retryMost bound the pause after failures.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
 	// outageAfter is the silence after which the registry counts as away: one wait and its answer.
 	outageAfter = changeWait + time.Second
+	// hearsayWait is how long another daemon may be ahead before the registry is asked again: a few of its
+	// answers, and the pause in a storm.
+	hearsayWait = changePause + 200*time.Millisecond
 )
 
 // StepKind says what to ask the registry next.
@@ -66,6 +69,9 @@
 	answered time.Time
 	changed  time.Time
 	away     bool
+	seen     uint64
+	heard    uint64
+	heardAt  time.Time
 }
 
 // NewState returns the state of a follower that knows nothing.
@@ -106,6 +112,7 @@
 		s.first = l.Revision()
 	}
 	s.pages = append(s.pages, l.Publications()...)
+	s.see(l.Publications())
 	s.after = l.Next()
 	if s.after != "" {
 		return nil, false, returned
@@ -119,6 +126,7 @@
 func (s *State) Changed(now time.Time, l basillift.Listing) (returned bool) {
 	returned = s.succeed(now)
 	s.revision = max(s.revision, l.Revision())
+	s.see(l.Publications())
 	if len(l.Publications()) > 0 {
 		s.changed = now
 	}
@@ -139,6 +147,34 @@
 	return true
 }
 
+// Seen is the newest revision of an entry that was seen.
+func (s *State) Seen() uint64 { return s.seen }
+
+// Hear takes the newest revision that another daemon has seen, and reports whether the wait for
+// changes is to be given up at a time because its answer seems to be lost.
+func (s *State) Hear(now time.Time, revision uint64) (due time.Time, behind bool) {
+	if revision <= s.seen || revision <= s.heard {
+		return time.Time{}, false
+	}
+	s.heard, s.heardAt = revision, now
+	return now.Add(hearsayWait), true
+}
+
+// Overdue reports whether another daemon is ahead for too long.
+func (s *State) Overdue(now time.Time) bool {
+	return s.heard > s.seen && !now.Before(s.heardAt.Add(hearsayWait))
+}
+
+// GaveUp notes that a wait was given up because its answer seems to be lost.
+func (s *State) GaveUp() { s.heard = 0 }
+
+// see notes the revisions of entries.
+func (s *State) see(publications []basillift.Publication) {
+	for _, p := range publications {
+		s.seen = max(s.seen, p.Revision())
+	}
+}
+
 func (s *State) restart() { s.listed, s.after, s.pages = false, "", nil }
 
 // succeed notes an answer and reports whether it ends an outage.
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -34,7 +36,7 @@
 func newConn(raw net.Conn, l Limits) (*Conn, error) {
 	descriptor, err := DescriptorOf(raw)
 	if err == nil && l.silence > 0 {
-		err = LimitSilence(raw, descriptor, l.silence)
+		err = LimitSilence(descriptor, l.silence)
 	}
 	if err != nil {
 		_ = raw.Close()
@@ -46,28 +48,41 @@
 	return c, nil
 }
 
-// probes is how many unanswered keep-alive probes end a silent connection.
-const probes = 2
+// Keep-alive probes end a connection whose peer went silent while an answer is awaited. The system counts in
+// whole seconds; a connection that is used every other second sends none.
+const (
+	probeIdle  = 2
+	probeEvery = 1
+	probes     = 2
+)
 
 // LimitSilence makes the system end a connection whose peer stays silent for the given time, whether bytes
 // are outstanding or not.
-func LimitSilence(raw net.Conn, descriptor int, silence time.Duration) error {
-	t, ok := raw.(*net.TCPConn)
-	if !ok {
-		return fmt.Errorf("limit silence: %w", errNotTCP)
-	}
-	interval := silence / (probes + 1)
-	err := t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: probes})
-	if err != nil {
-		return fmt.Errorf("set keep-alive probes: %w", err)
+func LimitSilence(descriptor int, silence time.Duration) error {
+	options := []struct{ level, name, value int }{
+		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, probeIdle},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, probeEvery},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probes},
+		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds())},
 	}
-	err = unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
-	if err != nil {
-		return fmt.Errorf("set user timeout: %w", err)
+	for _, o := range options {
+		if err := unix.SetsockoptInt(descriptor, o.level, o.name, o.value); err != nil {
+			return fmt.Errorf("limit silence of connection: %w", err)
+		}
 	}
 	return nil
 }
 
+// LimitSilenceOf returns a function for net.Dialer that limits the silence of each connection.
+func LimitSilenceOf(silence time.Duration) func(context.Context, string, string, syscall.RawConn) error {
+	return func(_ context.Context, _, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(descriptor uintptr) { failed = LimitSilence(int(descriptor), silence) })
+		return errors.Join(err, failed)
+	}
+}
+
 // DescriptorOf returns the file descriptor of a connection. It is valid only
 // while the connection is certainly open.
 func DescriptorOf(raw net.Conn) (int, error) {
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -94,3 +94,12 @@
 	// Changes waits until there is a change after the revision, or until the wait is over.
 	Changes(ctx context.Context, revision uint64, wait time.Duration) (Listing, error)
 }
+
+// Freshness compares what daemons know of the registry. Daemons tell each other the
+// newest revision that they have seen, so that one whose answer was lost notices.
+type Freshness interface {
+	// Seen is the newest revision of an entry that this daemon has seen.
+	Seen() uint64
+	// Hear takes the newest revision that another daemon has seen.
+	Hear(revision uint64)
+}
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -98,6 +98,7 @@
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	follower := blfollow.New(r.registry, r, rand.New(rand.NewSource(time.Now().UnixNano())))
+	r.courier.Follow(follower)
 	r.start(func() error { return r.courier.Run(serving) })
 	r.start(func() error { return follower.Run(serving) })
 	r.log.Event(bllog.Started()).Str("domain", string(r.settings.Place().FailureDomain())).Send()
