A removed entry of the own target counts as leaving; no grace for a target that leaves after the store's return

Change: only removals of the catch-up have the grace; a removed entry is remembered as leaving; waits of 3 s.

--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -13,8 +13,8 @@
 )
 
 // leaveMargin is how long before the end of its drain time a leaving target gets no more requests: the
-// way to it, and the time its leaving took to be known here.
-const leaveMargin = 800 * time.Millisecond
+// way to it, and the time until its leaving was known here, which a storm of changes or a lost answer delays.
+const leaveMargin = 1300 * time.Millisecond
 
 // hop is what the caller side tells the target side of a request.
 type hop struct {
--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -10,9 +10,14 @@
 	"basillift.dev/basillift"
 )
 
-// returnGrace is how long after the registry's return an entry may be missing: targets publish
-// themselves again within 2 s, by the registry's contract.
-const returnGrace = 2 * time.Second
+const (
+	// returnGrace is how long after the registry's return an entry may be missing: targets publish
+	// themselves again within 2 s, by the registry's contract.
+	returnGrace = 2 * time.Second
+	// catchUp is how long after the return removals may be from the time of the outage: one answer. A later
+	// one is news of a target that leaves.
+	catchUp = 50 * time.Millisecond
+)
 
 // removedMemory is how long a removed entry is remembered: longer than a delayed entry is on its way.
 const removedMemory = time.Minute
@@ -58,6 +63,7 @@
 	mutex      sync.Mutex
 	records    map[string]*record
 	graceUntil time.Time
+	returned   time.Time
 	current    atomic.Pointer[view]
 }
 
@@ -74,7 +80,7 @@
 // Machines is the number of addresses at which targets have entries; 1 at least.
 func (f *Fleet) Machines() int { return max(1, f.current.Load().machines) }
 
-// At returns the newest entry of an address, and since when it is leaving; zero while it is not.
+// At returns the newest entry of an address, and since when it is leaving or gone; zero while it is not.
 func (f *Fleet) At(address string) (basillift.Endpoint, time.Time, bool) {
 	r := f.current.Load().byAddress[address]
 	if r == nil {
@@ -87,15 +93,16 @@
 func (f *Fleet) Returned(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.graceUntil = now.Add(returnGrace)
+	f.returned, f.graceUntil = now, now.Add(returnGrace)
 }
 
-// Apply takes one change. Changes that are older than what is held do nothing.
-func (f *Fleet) Apply(now time.Time, p basillift.Publication) {
+// Apply takes one change, and reports false for one that is older than what is held, which does nothing.
+func (f *Fleet) Apply(now time.Time, p basillift.Publication) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.apply(now, p)
+	taken := f.apply(now, p)
 	f.publish()
+	return taken
 }
 
 // Replace takes a whole listing: entries that it lacks are gone.
@@ -109,7 +116,7 @@
 	}
 	for key, r := range f.records {
 		if !listed[key] {
-			f.remove(now, r)
+			f.remove(now, key, *r)
 		}
 	}
 	f.publish()
@@ -125,7 +132,7 @@
 		case !r.removed.IsZero() && now.Sub(r.removed) > removedMemory:
 			delete(f.records, key)
 		case r.missing && !now.Before(f.graceUntil):
-			r.missing, r.removed = false, now
+			f.end(now, key, *r)
 			changed = true
 		}
 	}
@@ -134,32 +141,36 @@
 	}
 }
 
-func (f *Fleet) apply(now time.Time, p basillift.Publication) {
+func (f *Fleet) apply(now time.Time, p basillift.Publication) bool {
 	held := f.records[p.Key()]
 	if held != nil && p.Revision() < held.revision {
-		return
+		return false
 	}
 	e, usable := p.Endpoint()
 	if !usable {
 		if held != nil {
-			held.revision = p.Revision()
-			f.remove(now, held)
+			gone := *held
+			gone.revision = p.Revision()
+			f.remove(now, p.Key(), gone)
 		}
-		return
+		return true
 	}
 	if held != nil && e.OlderThan(held.target.endpoint) {
-		return
+		return false
 	}
 	r := &record{revision: p.Revision(), target: &Target{endpoint: e, since: now, warmUntil: now.Add(e.Warmup())}}
 	if held != nil && held.target.endpoint.Born().Equal(e.Born()) {
 		r.target.since = held.target.since
 		r.target.warmUntil = earlier(held.target.warmUntil, r.target.warmUntil)
-		r.drains = held.drains
 	}
-	if !e.State().Willing() && r.drains.IsZero() {
+	if !e.State().Willing() {
 		r.drains = now
+		if held != nil && !held.drains.IsZero() {
+			r.drains = held.drains
+		}
 	}
 	f.records[p.Key()] = r
+	return true
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -169,31 +180,43 @@
 	return b
 }
 
-func (f *Fleet) remove(now time.Time, r *record) {
+// remove ends an entry, or keeps it while the registry may have lost it. Records that readers
+// may hold are never changed.
+func (f *Fleet) remove(now time.Time, key string, r record) {
 	if !r.removed.IsZero() {
 		return
 	}
-	if now.Before(f.graceUntil) && r.target.endpoint.State().Willing() {
+	if r.target.endpoint.State().Willing() && !f.returned.IsZero() && now.Sub(f.returned) < catchUp {
 		r.missing = true
+		f.records[key] = &r
 		return
 	}
+	f.end(now, key, r)
+}
+
+// end removes an entry.
+func (f *Fleet) end(now time.Time, key string, r record) {
 	r.removed, r.missing = now, false
+	if r.drains.IsZero() {
+		r.drains = now
+	}
+	f.records[key] = &r
 }
 
 // publish makes a new view for readers.
 func (f *Fleet) publish() {
 	v := &view{services: make(map[string][]*Target), byAddress: make(map[string]*record, len(f.records))}
 	for _, r := range f.records {
-		if !r.removed.IsZero() {
-			continue
-		}
 		address := r.target.endpoint.Address()
 		if o := v.byAddress[address]; o == nil || r.newerThan(o) {
 			v.byAddress[address] = r
 		}
 	}
-	v.machines = len(v.byAddress)
 	for _, r := range v.byAddress {
+		if !r.removed.IsZero() {
+			continue
+		}
+		v.machines++
 		e := r.target.endpoint
 		if e.State().Willing() {
 			v.services[e.Service()] = append(v.services[e.Service()], r.target)
@@ -205,9 +228,12 @@
 	f.current.Store(v)
 }
 
-// newerThan orders two entries with the same address. A removed entry that is only kept for the
-// registry's sake loses against any other.
+// newerThan orders two entries with the same address. A removed entry, and one that is only kept for the
+// registry's sake, lose against any other.
 func (r *record) newerThan(o *record) bool {
+	if r.removed.IsZero() != o.removed.IsZero() {
+		return r.removed.IsZero()
+	}
 	if r.missing != o.missing {
 		return o.missing
 	}
--- a/basillift/blfleet/fleet_test.go
+++ b/basillift/blfleet/fleet_test.go
@@ -127,3 +127,27 @@
 	f.Tick(start.Add(returnGrace))
 	assertTargets(t, f, "i2")
 }
+
+// Guards against requests to a target that leaves just after the registry's return, until the grace of the
+// return ends.
+func TestLeavesAfterReturn(t *testing.T) {
+	f := New()
+	f.Apply(start, ready("i1", 1, "x:1"))
+	f.Apply(start, ready("i2", 2, "x:2"))
+	f.Returned(start)
+	f.Apply(start.Add(200*time.Millisecond), removal("i2", 3))
+	assertTargets(t, f, "i1")
+}
+
+// Guards against a daemon that passes requests to its own target for ever after its entry was removed.
+func TestRemovedTargetIsLeaving(t *testing.T) {
+	is := is.New(t)
+	f := New()
+	f.Apply(start, ready("i1", 1, "x:1"))
+	f.Apply(start.Add(time.Second), removal("i1", 2))
+	_, leaving, known := f.At("x:1")
+	is.True(known && leaving.Equal(start.Add(time.Second)))
+	f.Apply(start.Add(2*time.Second), ready("i1", 3, "x:1"))
+	_, leaving, known = f.At("x:1")
+	is.True(known && leaving.IsZero())
+}
--- a/basillift/blfollow/state.go
+++ b/basillift/blfollow/state.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// changeWait is how long the registry may hold a request for changes. An answer that was lost is noticed
-	// earlier, by what other daemons have seen; this bounds the time where all answers were lost.
-	changeWait = 8 * time.Second
+	// changeWait is how long the registry may hold a request for changes. A registry that loses its history may
+	// leave a wait without the changes of its last second, for all daemons at once; 3 s later they count as in
+	// touch again. One daemon's lost answer is noticed earlier, by what others have seen.
+	changeWait = 3 * time.Second
 	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
 	changePause = 400 * time.Millisecond
 	// retryFirst and retryMost bound the pause after failures.
--- a/basillift/routing.go
+++ b/basillift/routing.go
@@ -199,6 +199,9 @@
 	return e
 }
 
+// Sequence orders what one run of the target says of itself.
+func (e Endpoint) Sequence() uint64 { return e.sequence }
+
 // OlderThan reports whether the entry was written before another one of the same
 // key: by an earlier run of the target, or earlier in the same run.
 func (e Endpoint) OlderThan(o Endpoint) bool {
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -174,11 +174,22 @@
 // Apply implements blfollow.Sink.
 func (r *routed) Apply(now time.Time, p basillift.Publication) {
 	if !r.adopt(p) {
-		r.fleet.Apply(now, p)
+		taken := r.fleet.Apply(now, p)
+		r.logTarget(p, taken)
 	}
 	r.courier.Changed(now)
 }
 
+// logTarget writes what a target's entry says now.
+func (r *routed) logTarget(p basillift.Publication, taken bool) {
+	line := r.log.Event(bllog.TargetChanged()).Str("key", p.Key()).Uint64("revision", p.Revision()).Bool("taken", taken)
+	if e, ok := p.Endpoint(); ok {
+		line = line.Str("service", e.Service()).Str("address", e.Address()).Str("state", string(e.State())).
+			Uint64("sequence", e.Sequence()).Time("born", e.Born())
+	}
+	line.AnErr("unusable", p.Invalid()).Send()
+}
+
 // adopt takes a routing table and reports whether the publication was one.
 func (r *routed) adopt(p basillift.Publication) bool {
 	table, ok := p.Routing()
