--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RACE := $(shell command -v $${CC:-gcc} >/dev/null 2>&1 && echo -race)
 # Tests that fail because of a fault that is recorded in KNOWN-RED.txt are named and left out.
 SKIP := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
-MODULES := basillift basilliftd basilliftctl basilliftlab
+MODULES := basillift platform basilliftd basilliftctl basilliftlab
 
 .PHONY: build demo bench capacity test lint fmt generate tools
 
--- /dev/null
+++ b/basillift/blcourier/mesh_test.go
@@ -0,0 +1,251 @@
+package blcourier
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/bltable"
+)
+
+// hangGuard ends a test that would otherwise wait for ever. No verdict depends on it.
+const hangGuard = 30 * time.Second
+
+var names = basillift.NewDialect().
+	WithRequest("X-Id", "X-Deadline", "X-Instance", "X-Caller").
+	WithAnswer("X-Seal", "X-Not-Run").
+	WithReady("/ready")
+
+// script answers one request of a fake target by writing bytes to its connection. It returns false to close it.
+type script func(w net.Conn, r *http.Request, body []byte) bool
+
+// fakeTarget is a target that keeps the raw requests and runs a script for each.
+type fakeTarget struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	script   script
+	heads    []string
+	bodies   []string
+	runs     map[string]int
+}
+
+func startTarget(t *testing.T, s script) *fakeTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	f := &fakeTarget{listener: l, script: s, runs: map[string]int{}}
+	go f.loop()
+	t.Cleanup(func() { _ = l.Close() })
+	return f
+}
+
+func (f *fakeTarget) loop() {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(conn)
+	}
+}
+
+// serve keeps the header of each request as it came.
+func (f *fakeTarget) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	var raw bytes.Buffer
+	reader := bufio.NewReader(io.TeeReader(conn, &raw))
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		head, _, _ := bytes.Cut(raw.Bytes(), []byte("\r\n\r\n"))
+		f.mutex.Lock()
+		f.heads = append(f.heads, string(head))
+		f.bodies = append(f.bodies, string(body))
+		f.runs[r.Header.Get("X-Id")]++
+		s := f.script
+		f.mutex.Unlock()
+		raw.Reset()
+		if !s(conn, r, body) {
+			return
+		}
+	}
+}
+
+func (f *fakeTarget) count(id string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.runs[id]
+}
+
+func (f *fakeTarget) last(t *testing.T) (head, body string) {
+	t.Helper()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.heads) == 0 {
+		t.Fatal("the target got no request")
+	}
+	return f.heads[len(f.heads)-1], f.bodies[len(f.bodies)-1]
+}
+
+// answerOK is a whole answer with seal and id.
+func answerOK(w net.Conn, r *http.Request, body []byte) bool {
+	text := r.URL.Path + " " + string(body)
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(text), text)
+	return err == nil
+}
+
+// news is a registry that everybody knows equally well.
+type news struct{}
+
+func (news) Seen() uint64 { return 1 }
+func (news) Hear(uint64)  {}
+
+// mesh is a few couriers in one process, each beside a fake target of the service "catalogue".
+type mesh struct {
+	couriers []*Courier
+	callers  []string
+	fleet    *blfleet.Fleet
+	tables   *bltable.Holder
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func startMesh(t *testing.T, targets ...*fakeTarget) *mesh {
+	t.Helper()
+	m := startEmptyMesh(t, targets...)
+	m.publish(t, 1, time.Second)
+	return m
+}
+
+// startEmptyMesh starts daemons without a routing table.
+func startEmptyMesh(t *testing.T, targets ...*fakeTarget) *mesh {
+	t.Helper()
+	m := &mesh{fleet: blfleet.New(), tables: bltable.NewHolder()}
+	for i, f := range targets {
+		m.start(t, i, f)
+	}
+	for _, c := range m.couriers {
+		c.Changed(time.Now())
+	}
+	return m
+}
+
+func (m *mesh) publish(t *testing.T, version uint64, timeout time.Duration) {
+	t.Helper()
+	share := basillift.NewShare("catalogue", 1)
+	route := func(name string, k basillift.RequestKind) basillift.Route {
+		return basillift.NewRoute(name, "shop.example", "/"+name+"/", k, share).WithTimes(timeout, timeout/2).WithAttempts(2)
+	}
+	_, err := m.tables.Adopt(basillift.NewRouting(version,
+		[]basillift.Route{route("get", basillift.KindIdempotent), route("post", basillift.KindNonIdempotent)},
+		[]basillift.ServiceLimits{basillift.NewServiceLimits("catalogue", "/", 100)},
+		basillift.NewClientLimits(8<<10, 4<<20, time.Second, 5*time.Second)))
+	is.New(t).NoErr(err)
+}
+
+func (m *mesh) start(t *testing.T, i int, f *fakeTarget) {
+	t.Helper()
+	caller, peer := address(t), address(t)
+	target := f.listener.Addr().String()
+	s := NewSettings(caller, peer, address(t)).WithTarget(target, "catalogue", "a").WithDialect(names).WithRepeats(1, 100)
+	c := New(s, m.tables, m.fleet, nil, rand.New(rand.NewSource(int64(i)+1)))
+	c.Follow(news{})
+	is.New(t).NoErr(c.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-done)
+	})
+	e := basillift.NewEndpoint(fmt.Sprintf("i%d", i), "catalogue", target, "a", 4, basillift.TargetReady).WithDaemon(peer)
+	m.fleet.Apply(time.Now(), basillift.NewPublication(fmt.Sprintf("t%d", i), uint64(i)+1).WithEndpoint(e))
+	m.couriers = append(m.couriers, c)
+	m.callers = append(m.callers, caller)
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (m *mesh) dial(t *testing.T, daemon int) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.callers[daemon])
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(conn.SetDeadline(time.Now().Add(hangGuard)))
+	t.Cleanup(func() { _ = conn.Close() })
+	return &caller{t: t, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, text)
+	is.New(c.t).NoErr(err)
+}
+
+func get(id, path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Id: " + id + "\r\nX-Deadline: 900\r\n\r\n"
+}
+
+func post(id, body string) string {
+	return fmt.Sprintf("POST /post/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: %s\r\nX-Deadline: 900\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// seen is an answer as the caller sees it.
+type seen struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	close  bool
+}
+
+func (c *caller) read() seen {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return seen{err: err}
+	}
+	body, err := io.ReadAll(r.Body)
+	return seen{status: r.StatusCode, header: r.Header, body: string(body), err: err, close: r.Close}
+}
+
+func (c *caller) assertAnswer(status int, body string) seen {
+	c.t.Helper()
+	s := c.read()
+	if s.err != nil || s.status != status || body != "" && s.body != body {
+		c.t.Fatalf("answer %d %q (%v), want %d %q", s.status, s.body, s.err, status, body)
+	}
+	return s
+}
+
+func removalOf(key string, revision uint64) basillift.Publication {
+	return basillift.NewPublication(key, revision)
+}
--- /dev/null
+++ b/basillift/blcourier/path_test.go
@@ -0,0 +1,327 @@
+package blcourier
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a request that reaches the target changed, or with what a caller may not say.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	for _, where := range []struct {
+		name   string
+		caller int
+	}{{"beside the target", 0}, {"over another daemon", 1}} {
+		t.Run(where.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startTarget(t, answerOK)
+			other := startTarget(t, answerOK)
+			m := startMesh(t, f, other)
+			c := m.dial(t, where.caller)
+			c.send("GET /get//a%2Fb/./c?x=%20&y HTTP/1.1\r\nhost: shop.example\r\nX-ID: 1\r\nX-Deadline: 500\r\nx-CaSe: Kept\r\n" +
+				"X-Caller: forged\r\nBasillift-Hop: forged\r\nX-Instance: forged\r\nConnection: X-Drop\r\nX-Drop: 1\r\n\r\n")
+			c.assertAnswer(http.StatusOK, "")
+			target := f
+			if f.count("1") == 0 {
+				target = other
+			}
+			head, _ := target.last(t)
+			is.True(strings.HasPrefix(head, "GET /get//a%2Fb/./c?x=%20&y HTTP/1.1\r\n"))
+			is.True(strings.Contains(head, "\r\nx-CaSe: Kept"))
+			is.True(strings.Contains(head, "\r\nX-Caller: catalogue"))
+			is.True(strings.Contains(head, "\r\nX-Instance: i"))
+			is.True(!strings.Contains(head, "forged"))
+			is.True(!strings.Contains(head, "X-Drop"))
+			is.True(!strings.Contains(head, "Basillift-"))
+			is.True(strings.Contains(head, "X-Deadline: 49") || strings.Contains(head, "X-Deadline: 500"))
+		})
+	}
+}
+
+func TestBodies(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 64<<10)
+	cases := []struct{ name, framing, body, want string }{
+		{"by length", "Content-Length: 3\r\n\r\nabc", "", "abc"},
+		{"in chunks", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", "", "abc"},
+		{"in chunks with a trailer", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-T: 1\r\n\r\n", "", "abc"},
+		{"larger than the buffer", fmt.Sprintf("Content-Length: %d\r\n\r\n", len(large)), large, large},
+		{"larger than the buffer, in chunks", "Transfer-Encoding: chunked\r\n\r\n100000\r\n", large + "\r\n0\r\n\r\n", large},
+		{"empty", "Content-Length: 0\r\n\r\n", "", ""},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			f := startTarget(t, answerOK)
+			m := startMesh(t, f)
+			c := m.dial(t, 0)
+			c.send("POST /post/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: 1\r\n" + k.framing + k.body)
+			c.assertAnswer(http.StatusOK, "/post/x "+k.want)
+			c.send(get("2", "/get/y"))
+			c.assertAnswer(http.StatusOK, "/get/y ")
+		})
+	}
+}
+
+// Guards against smuggled requests and limits that do not hold.
+func TestRefusedRequests(t *testing.T) {
+	cases := []struct {
+		name, text string
+		status     int
+	}{
+		{"no route", "GET /none/ HTTP/1.1\r\nHost: shop.example\r\n\r\n", http.StatusNotFound},
+		{"unknown host", "GET /get/ HTTP/1.1\r\nHost: other.example\r\n\r\n", http.StatusNotFound},
+		{"two framings", "POST /post/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+		{"two lengths", "POST /post/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", http.StatusBadRequest},
+		{"body above the limit", "POST /post/ HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 99999999\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"header above the limit", "GET /get/ HTTP/1.1\r\nHost: shop.example\r\nX-A: " + strings.Repeat("a", 40<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	}
+	f := startTarget(t, answerOK)
+	m := startMesh(t, f)
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			c := m.dial(t, 0)
+			c.send(k.text)
+			c.assertAnswer(k.status, "")
+		})
+	}
+}
+
+// Guards against answers of pipelined requests in another order than the requests.
+func TestPipelinedAnswersKeepTheirOrder(t *testing.T) {
+	f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+		if r.URL.Path == "/get/slow" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		return answerOK(w, r, body)
+	})
+	m := startMesh(t, f)
+	c := m.dial(t, 0)
+	c.send(get("1", "/get/slow") + get("2", "/get/fast") + get("3", "/none/") + get("4", "/get/last"))
+	c.assertAnswer(http.StatusOK, "/get/slow ")
+	c.assertAnswer(http.StatusOK, "/get/fast ")
+	c.assertAnswer(http.StatusNotFound, "")
+	c.assertAnswer(http.StatusOK, "/get/last ")
+}
+
+// badAnswers are what a faulty target sends instead of its answer.
+func badAnswers() map[string]script {
+	whole := func(id, more string) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + more + "Content-Length: 2\r\n\r\nok"
+	}
+	write := func(text func(id string) string, keep bool) script {
+		return func(w net.Conn, r *http.Request, _ []byte) bool {
+			_, err := w.Write([]byte(text(r.Header.Get("X-Id"))))
+			return err == nil && keep
+		}
+	}
+	return map[string]script{
+		"closed without an answer": write(func(string) string { return "" }, false),
+		"cut short":                write(func(id string) string { return whole(id, "X-Seal: s\r\n")[:40] }, false),
+		"body cut short": write(func(id string) string {
+			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nok"
+		}, false),
+		"chunks cut short": write(func(id string) string {
+			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+		}, false),
+		"not HTTP":         write(func(string) string { return "garbage\r\n\r\n" }, false),
+		"without a seal":   write(func(id string) string { return whole(id, "") }, true),
+		"of another id":    write(func(string) string { return whole("other", "X-Seal: s\r\n") }, false),
+		"encoded":          write(func(id string) string { return whole(id, "X-Seal: s\r\nContent-Encoding: gzip\r\n") }, true),
+		"unframed, reset": func(w net.Conn, r *http.Request, _ []byte) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\nok", r.Header.Get("X-Id"))
+			_ = w.(*net.TCPConn).SetLinger(0)
+			return false
+		},
+	}
+}
+
+// Guards against a spoiled answer that is passed on as a success, and against a
+// request that runs twice although it must not.
+func TestBadAnswers(t *testing.T) {
+	for name, s := range badAnswers() {
+		t.Run("non-idempotent: "+name, func(t *testing.T) {
+			is := is.New(t)
+			f, other := startTarget(t, s), startTarget(t, s)
+			m := startMesh(t, f, other)
+			c := m.dial(t, 0)
+			c.send(post("1", "x"))
+			a := c.read()
+			is.NoErr(a.err)
+			is.Equal(a.status, http.StatusBadGateway)
+			is.Equal(f.count("1")+other.count("1"), 1)
+		})
+		t.Run("idempotent: "+name, func(t *testing.T) {
+			is := is.New(t)
+			f, other := startTarget(t, s), startTarget(t, s)
+			m := startMesh(t, f, other)
+			c := m.dial(t, 0)
+			c.send(get("1", "/get/x"))
+			is.Equal(c.read().status, http.StatusBadGateway)
+			is.Equal(f.count("1")+other.count("1"), 2) // the route's attempts
+		})
+	}
+}
+
+// Guards against an unframed answer that is lost, and against a late answer to an
+// earlier request that is taken for the next one's.
+func TestUnusualAnswers(t *testing.T) {
+	t.Run("unframed and closed", func(t *testing.T) {
+		f := startTarget(t, func(w net.Conn, r *http.Request, _ []byte) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\nwhole", r.Header.Get("X-Id"))
+			return false
+		})
+		c := startMesh(t, f).dial(t, 0)
+		c.send(get("1", "/get/x"))
+		c.assertAnswer(http.StatusOK, "whole")
+	})
+	t.Run("an extra answer that arrives late", func(t *testing.T) {
+		f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+			if r.Header.Get("X-Id") == "2" {
+				_, _ = w.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nold"))
+			}
+			return answerOK(w, r, body)
+		})
+		c := startMesh(t, f).dial(t, 0)
+		for _, id := range []string{"1", "2", "3"} {
+			c.send(get(id, "/get/"+id))
+			c.assertAnswer(http.StatusOK, "/get/"+id+" ")
+		}
+	})
+	t.Run("an early answer to an upload that is not read", func(t *testing.T) {
+		early, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		defer func() { _ = early.Close() }()
+		f := &fakeTarget{listener: early}
+		go func() {
+			conn, err := early.Accept()
+			if err != nil {
+				return
+			}
+			buffer := make([]byte, 1024)
+			_, _ = conn.Read(buffer)
+			_, _ = conn.Write([]byte("HTTP/1.1 400 Bad Request\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno"))
+			time.Sleep(hangGuard)
+		}()
+		c := startMesh(t, f).dial(t, 0)
+		c.send(post("1", strings.Repeat("x", 3<<20)))
+		c.assertAnswer(http.StatusBadRequest, "no")
+	})
+}
+
+// shed says that the request did not run.
+func shed(w net.Conn, _ *http.Request, _ []byte) bool {
+	_, err := w.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+	return err == nil
+}
+
+// Guards against refusals that are not true, and against giving up a request that another target would run.
+func TestRefusals(t *testing.T) {
+	t.Run("a request that did not run goes to another target, whatever its kind", func(t *testing.T) {
+		is := is.New(t)
+		f, other := startTarget(t, shed), startTarget(t, answerOK)
+		m := startMesh(t, f, other)
+		for n := range 6 {
+			c := m.dial(t, n%2)
+			id := fmt.Sprint(n)
+			c.send(post(id, "x"))
+			c.assertAnswer(http.StatusOK, "/post/x x")
+			is.Equal(other.count(id), 1)
+		}
+	})
+	t.Run("refused by all", func(t *testing.T) {
+		is := is.New(t)
+		f := startTarget(t, shed)
+		c := startMesh(t, f).dial(t, 0)
+		c.send(post("1", "x"))
+		a := c.assertAnswer(http.StatusServiceUnavailable, "")
+		is.True(a.header.Get("Retry-After") != "")
+		is.Equal(a.header.Get("X-Id"), "1")
+	})
+	t.Run("a target that is down", func(t *testing.T) {
+		is := is.New(t)
+		f, other := startTarget(t, answerOK), startTarget(t, answerOK)
+		_ = f.listener.Close()
+		m := startMesh(t, f, other)
+		c := m.dial(t, 0)
+		c.send(post("1", "x"))
+		c.assertAnswer(http.StatusOK, "")
+		is.Equal(other.count("1"), 1)
+	})
+	t.Run("no table yet", func(t *testing.T) {
+		f := startTarget(t, answerOK)
+		c := startEmptyMesh(t, f).dial(t, 0)
+		c.send(get("1", "/get/x"))
+		c.assertAnswer(http.StatusServiceUnavailable, "")
+	})
+}
+
+// Guards against a caller that waits longer than its route allows, and against work for callers that left.
+func TestTime(t *testing.T) {
+	t.Run("the route's timeout", func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		defer close(release)
+		f := startTarget(t, func(net.Conn, *http.Request, []byte) bool { <-release; return false })
+		m := startMesh(t, f)
+		m.publish(t, 2, 100*time.Millisecond)
+		c := m.dial(t, 0)
+		c.send(post("1", "x"))
+		c.assertAnswer(http.StatusGatewayTimeout, "")
+		is.Equal(f.count("1"), 1)
+	})
+	t.Run("a caller that leaves", func(t *testing.T) {
+		gone := make(chan struct{})
+		f := startTarget(t, func(w net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = w.Read(make([]byte, 1))
+			close(gone)
+			return false
+		})
+		m := startMesh(t, f, startTarget(t, answerOK))
+		m.fleet.Apply(time.Now(), removalOf("t1", 9))
+		c := m.dial(t, 1)
+		c.send(get("1", "/get/x"))
+		for f.count("1") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_ = c.conn.Close()
+		select {
+		case <-gone:
+		case <-time.After(hangGuard):
+			t.Fatal("the target still works for a caller that left")
+		}
+	})
+}
+
+// Guards against requests that are cut by a stop, and against a stop that goes on taking requests.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}, 8), make(chan struct{})
+	f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+		entered <- struct{}{}
+		<-release
+		return answerOK(w, r, body)
+	})
+	m := startMesh(t, f)
+	m.publish(t, 2, hangGuard)
+	busy, idle := m.dial(t, 0), m.dial(t, 0)
+	busy.send("POST /post/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+	<-entered
+	done := make(chan struct{})
+	go func() { m.couriers[0].Drain(context.Background()); close(done) }()
+	for !m.couriers[0].stopping.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!m.couriers[0].Ready())
+	m.couriers[0].denials.Store(deniedChecks)
+	is.True(idle.read().err != nil) // closed, without an answer
+	close(release)
+	is.True(busy.assertAnswer(http.StatusOK, "").close)
+	<-done
+	_, err := net.Dial("tcp", m.callers[0])
+	is.True(err != nil)
+}
