blrpc: wait for the name of a dialled peer before its first call is taken

Cause: the peer of a dialled connection sends calls as soon as it has answered the hello; when the read loop took such a call before the goroutine that waits for the hello had stored the name, the connection was closed under the calls on it. That was the known red TestCall/bytes_are_counted_alike_on_both_sides.

--- a/basillift/blrpc/link.go
+++ b/basillift/blrpc/link.go
@@ -37,6 +37,9 @@
 	running  chan struct{}
 	// ready is closed once conn is set: jsonrpc2 reads before its constructor returns.
 	ready chan struct{}
+	// named is closed once peer is set.
+	named    chan struct{}
+	nameOnce sync.Once
 
 	// purposes of calls from the peer that are not answered yet.
 	mutex    sync.Mutex
@@ -56,7 +59,7 @@
 	}
 	l := &link{
 		pool: p, stream: s, dialled: dialled, running: make(chan struct{}, maxRunning),
-		purposes: map[jsonrpc2.ID]basillift.Purpose{}, ready: make(chan struct{}),
+		purposes: map[jsonrpc2.ID]basillift.Purpose{}, ready: make(chan struct{}), named: make(chan struct{}),
 	}
 	l.touch()
 	l.conn = jsonrpc2.NewConn(ctx, &meteredStream{link: l}, l,
@@ -119,7 +122,7 @@
 		l.answerHello(ctx, request)
 		return
 	}
-	from := l.peer.Load()
+	from := l.sender(ctx)
 	if from == nil {
 		l.close()
 		return
@@ -145,6 +148,24 @@
 	}
 }
 
+// sender is the peer that sends on this connection; nil if it has not said hello. The
+// peer of a dialled connection may send as soon as it has answered the hello, before
+// the answer has reached the goroutine that waits for it.
+func (l *link) sender(ctx context.Context) *basillift.VMID {
+	if from := l.peer.Load(); from != nil || !l.dialled {
+		return from
+	}
+	timer := time.NewTimer(helloTimeout)
+	defer timer.Stop()
+	select {
+	case <-l.named:
+	case <-l.conn.DisconnectNotify():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return l.peer.Load()
+}
+
 func (l *link) refuse(ctx context.Context, request *jsonrpc2.Request, code int64, text string) {
 	if request.Notif {
 		return
@@ -168,6 +189,7 @@
 func (l *link) register(theirs Hello) {
 	id := basillift.VMID(theirs.Record.Name)
 	l.peer.Store(&id)
+	l.nameOnce.Do(func() { close(l.named) })
 	l.pool.add(id, l)
 	if l.closed() {
 		l.pool.remove(id, l)
