Calls of targets go first and wait as long as their answer is of use

Cause: a refused call wastes the work of its parent, which holds a slot meanwhile. Change: lanes that come from the VMs of one service only, beside lanes from several, count as calls; they go before others in the goal queue and wait until their deadline. Garbage is collected at 40 % growth.

--- a/basillift/bladmit/goalqueue.go
+++ b/basillift/bladmit/goalqueue.go
@@ -32,6 +32,7 @@
 	goal     time.Time
 	deadline time.Time
 	patience time.Duration
+	nested   bool
 }
 
 // NewOffer returns an offer. Requests of one lane hold a slot for a similar time;
@@ -47,6 +48,13 @@
 	return o
 }
 
+// WithNested marks a call that a target makes while it runs a request: it goes before
+// all others and waits as long as its answer is of use.
+func (o Offer) WithNested(nested bool) Offer {
+	o.nested = nested
+	return o
+}
+
 // Verdict is what becomes of an offer at once.
 type Verdict string
 
@@ -79,8 +87,8 @@
 
 // GoalQueue admits requests to one target whose slots are known exactly. It is made
 // for overload: a request waits only if it is expected to keep its goal, and is refused at once
-// otherwise, so that it can go elsewhere while there is time. Better ranks go first, and
-// within a rank the request whose goal is next. It is not safe for concurrent use.
+// otherwise, so that it can go elsewhere while there is time. Calls of targets go first, then better
+// ranks, and within a rank the request whose goal is next. It is not safe for concurrent use.
 type GoalQueue struct {
 	slots   int
 	running map[uint64]*ticket
@@ -156,6 +164,9 @@
 // wait that is of no consequence.
 func (q *GoalQueue) latest(now time.Time, o Offer) time.Time {
 	hold := seconds(q.hold(now, o))
+	if o.nested {
+		return o.deadline.Add(-hold)
+	}
 	latest := o.goal.Add(-hold)
 	if free := now.Add(o.patience); free.After(latest) {
 		latest = free
@@ -190,8 +201,14 @@
 	return q.all.value
 }
 
-// before orders waiting tickets by rank and then by goal.
+// before orders waiting tickets: calls of targets, then by rank, then by goal.
 func before(a, b *ticket) int {
+	if a.offer.nested != b.offer.nested {
+		if a.offer.nested {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(a.offer.rank, b.offer.rank); c != 0 {
 		return c
 	}
--- a/basillift/blcourier/desk.go
+++ b/basillift/blcourier/desk.go
@@ -16,13 +16,14 @@
 type desk struct {
 	mutex     sync.Mutex
 	queue     *bladmit.GoalQueue
+	origins   *bladmit.Origins
 	waiting   map[uint64]chan struct{}
 	next      uint64
 	downUntil time.Time
 }
 
 func newDesk() *desk {
-	return &desk{queue: bladmit.NewGoalQueue(defaultSlots), waiting: make(map[uint64]chan struct{})}
+	return &desk{queue: bladmit.NewGoalQueue(defaultSlots), origins: bladmit.NewOrigins(), waiting: make(map[uint64]chan struct{})}
 }
 
 // enter waits for a slot. It returns the id of the slot, or why the request did not get one.
@@ -61,7 +62,8 @@
 	}
 	d.next++
 	id := d.next
-	o := bladmit.NewOffer(id, h.lane, h.rank, h.goal, h.deadline).WithObjective(h.objective)
+	d.origins.Observe(h.lane, h.caller)
+	o := bladmit.NewOffer(id, h.lane, h.rank, h.goal, h.deadline).WithObjective(h.objective).WithNested(d.origins.Nested(h.lane))
 	decision := d.queue.Arrive(now, o)
 	if decision.Verdict() != bladmit.VerdictWait {
 		return id, decision, nil
--- a/basillift/blcourier/path_test.go
+++ b/basillift/blcourier/path_test.go
@@ -128,10 +128,10 @@
 		"chunks cut short": write(func(id string) string {
 			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
 		}, false),
-		"not HTTP":         write(func(string) string { return "garbage\r\n\r\n" }, false),
-		"without a seal":   write(func(id string) string { return whole(id, "") }, true),
-		"of another id":    write(func(string) string { return whole("other", "X-Seal: s\r\n") }, false),
-		"encoded":          write(func(id string) string { return whole(id, "X-Seal: s\r\nContent-Encoding: gzip\r\n") }, true),
+		"not HTTP":       write(func(string) string { return "garbage\r\n\r\n" }, false),
+		"without a seal": write(func(id string) string { return whole(id, "") }, true),
+		"of another id":  write(func(string) string { return whole("other", "X-Seal: s\r\n") }, false),
+		"encoded":        write(func(id string) string { return whole(id, "X-Seal: s\r\nContent-Encoding: gzip\r\n") }, true),
 		"unframed, reset": func(w net.Conn, r *http.Request, _ []byte) bool {
 			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\nok", r.Header.Get("X-Id"))
 			_ = w.(*net.TCPConn).SetLinger(0)
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -18,7 +18,9 @@
 
 // hop is what the caller side tells the target side of a request.
 type hop struct {
-	instance   string
+	instance string
+	// caller is the service of the VM at which the request began.
+	caller     string
 	lane       string
 	rank       int
 	repeatable bool
@@ -56,6 +58,7 @@
 
 // run admits a request and passes it to the target. The answer carries the target's load.
 func (t *targetSide) run(ctx context.Context, r *request, h hop) *answer {
+	h.caller = r.header(t.courier.settings.dialect.Caller())
 	a := t.admit(ctx, r, h)
 	a.load = t.courier.desk.load()
 	a.instance = h.instance
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,10 @@
 // settingsEvery is how often the settings file is looked at; it may change without a signal.
 const settingsEvery = 5 * time.Second
 
+// collectAt is the growth of the heap, in percent, at which garbage is collected. The heap of a daemon is small, so
+// that more frequent collections cost little and keep its memory down.
+const collectAt = 40
+
 // routed is the daemon that routes by table: the registry tells it the table and the targets.
 type routed struct {
 	path     string
@@ -92,6 +97,7 @@
 
 // run serves until ctx ends or a part fails, and then stops in order.
 func (r *routed) run(ctx context.Context) error {
+	debug.SetGCPercent(collectAt)
 	if err := r.courier.Listen(); err != nil {
 		return fmt.Errorf("courier: %w", errors.Join(errListen, err))
 	}
