Callers that come back keep the goal of their first attempt; late requests go last

Change: a route's usual waiting times are learned; a caller with less time left has been waiting for the difference, which is taken off its goal. Requests whose goal is lost go behind those of their rank whose goal can be kept. Admission reserves mean + 2.5 deviations.

--- a/basillift/bladmit/goalqueue.go
+++ b/basillift/bladmit/goalqueue.go
@@ -13,8 +13,8 @@
 	// holdWeight is the share of a new observation in the mean slot time of a lane.
 	holdWeight = 1.0 / 16
 	// certainty is how many mean deviations above its mean slot time a request is
-	// given, so that nine of ten admitted requests keep their goal: slot times lean to the long side.
-	certainty = 1.5
+	// given, so that 19 of 20 admitted requests keep their goal: slot times lean to the long side.
+	certainty = 2.5
 	// unknownHold is the share of its goal that a request of an unknown lane is assumed to hold a slot.
 	unknownHold = 0.25
 	// freeShare is the share of its goal that a request may wait wherever the goal cannot be kept: so little
@@ -33,6 +33,8 @@
 	deadline time.Time
 	patience time.Duration
 	nested   bool
+	// late is set by the queue for an offer whose goal cannot be kept any more.
+	late bool
 }
 
 // NewOffer returns an offer. Requests of one lane hold a slot for a similar time;
@@ -145,6 +147,7 @@
 	if q.closed != basillift.ReasonNone {
 		return Decision{verdict: VerdictRefuse, reason: q.closed}
 	}
+	o.late = !o.nested && now.Add(seconds(q.hold(now, o))).After(o.goal)
 	t := &ticket{offer: o}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
 		q.start(now, t)
@@ -201,7 +204,7 @@
 	return q.all.value
 }
 
-// before orders waiting tickets: calls of targets, then by rank, then by goal.
+// before orders waiting tickets: calls of targets, then by rank, late ones last, then by goal.
 func before(a, b *ticket) int {
 	if a.offer.nested != b.offer.nested {
 		if a.offer.nested {
@@ -212,6 +215,12 @@
 	if c := cmp.Compare(a.offer.rank, b.offer.rank); c != 0 {
 		return c
 	}
+	if a.offer.late != b.offer.late {
+		if b.offer.late {
+			return -1
+		}
+		return 1
+	}
 	if c := a.offer.goal.Compare(b.offer.goal); c != 0 {
 		return c
 	}
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -75,8 +75,10 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
+	waited := time.Duration(0)
 	if own, ok := r.millis(s.courier.settings.dialect.Deadline()); ok {
 		timeout = min(timeout, own)
+		waited = s.courier.patience.Observe(route.Name(), own)
 	}
 	objective := route.Goal()
 	if objective == 0 {
@@ -86,7 +88,7 @@
 		request: r, route: route, service: s.courier.dealer.Deal(route),
 		hop: hop{
 			lane: route.Name(), rank: route.Priority(), repeatable: route.Kind().Repeatable(), objective: objective,
-			goal: r.arrived.Add(objective), deadline: r.arrived.Add(timeout),
+			goal: r.arrived.Add(objective - waited), deadline: r.arrived.Add(timeout),
 		},
 	}
 }
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmit"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blplace"
@@ -46,6 +47,7 @@
 	pools     *blpool.Set
 	desk      *desk
 	sizes     *sizes
+	patience  *bladmit.Patience
 	trail     *trail
 	news      basillift.Freshness
 	targets   *targetSide
@@ -67,7 +69,7 @@
 	c := &Courier{
 		settings: s, tables: tables, fleet: fleet,
 		dealer: bltable.NewDealer(rnd), placer: blplace.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), trail: newTrail(log),
+		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), patience: bladmit.NewPatience(), trail: newTrail(log),
 	}
 	c.leaving.Store(int64(s.leaving))
 	c.targets = &targetSide{courier: c}
