A target that turns out to be another instance is asked once

Cause: after a restart of all machines the store still had the entries of the runs before; each request to them reached a server that answered 421 and used up the allowance, so that calls failed and their parents with them. Change: the daemon beside the target remembers for 2 s which instance is not there and refuses without asking; the answer counts as never sent. A 421 needs no echoed id.

--- a/basillift/blcourier/desk.go
+++ b/basillift/blcourier/desk.go
@@ -9,6 +9,10 @@
 	"basillift.dev/basillift/bladmit"
 )
 
+// absentFor is how long requests for an instance that the target is not are refused before one asks again: a
+// target may start under the same name again, which takes some seconds.
+const absentFor = 2 * time.Second
+
 // downPause is how long requests are refused after the target refused a connection.
 const downPause = 100 * time.Millisecond
 
@@ -20,6 +24,9 @@
 	waiting   map[uint64]chan struct{}
 	next      uint64
 	downUntil time.Time
+	// absent is the instance that the target was asked for last and is not.
+	absent      string
+	absentUntil time.Time
 }
 
 func newDesk() *desk {
@@ -111,6 +118,20 @@
 	d.queue.Close(basillift.ReasonNoTarget)
 }
 
+// misdirected notes that the target is not an instance.
+func (d *desk) misdirected(now time.Time, instance string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.absent, d.absentUntil = instance, now.Add(absentFor)
+}
+
+// lacks reports whether the target is known not to be an instance.
+func (d *desk) lacks(now time.Time, instance string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return instance != "" && instance == d.absent && now.Before(d.absentUntil)
+}
+
 // setSlots takes the number of slots that the target says it has.
 func (d *desk) setSlots(now time.Time, slots int) {
 	d.mutex.Lock()
--- a/basillift/blcourier/exchange.go
+++ b/basillift/blcourier/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -127,7 +128,8 @@
 		return true
 	}
 	echoed := a.header(x.idHeader)
-	return echoed == x.requestID || echoed == "" && a.header(x.notRun) != ""
+	refused := a.status == http.StatusMisdirectedRequest || a.header(x.notRun) != ""
+	return echoed == x.requestID || echoed == "" && refused
 }
 
 func (x *exchange) write() error {
--- a/basillift/blcourier/path_test.go
+++ b/basillift/blcourier/path_test.go
@@ -233,6 +233,21 @@
 			is.Equal(other.count(id), 1)
 		}
 	})
+	t.Run("an address that another run of the target has: asked once, then left alone", func(t *testing.T) {
+		is := is.New(t)
+		moved := startTarget(t, func(w net.Conn, _ *http.Request, _ []byte) bool {
+			_, err := w.Write([]byte("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"))
+			return err == nil
+		})
+		m := startMesh(t, moved)
+		c := m.dial(t, 0)
+		for n := range 5 {
+			c.send(post(fmt.Sprint(n), "x"))
+			c.assertAnswer(http.StatusServiceUnavailable, "")
+		}
+		is.Equal(moved.count("0"), 1)
+		is.Equal(moved.count("1")+moved.count("2")+moved.count("3")+moved.count("4"), 0)
+	})
 	t.Run("refused by all", func(t *testing.T) {
 		is := is.New(t)
 		f := startTarget(t, shed)
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -75,6 +75,9 @@
 	if known && !leaving.IsZero() && now.Sub(leaving) > time.Duration(c.leaving.Load())-leaveMargin {
 		return notRun(basillift.ReasonDraining, 0)
 	}
+	if c.desk.lacks(now, h.instance) {
+		return notRun(basillift.ReasonNoTarget, 0)
+	}
 	id, refusal := c.desk.enter(ctx, now, h)
 	if refusal != nil {
 		return refusal
@@ -115,7 +118,7 @@
 	if err != nil {
 		return t.failed(time.Now(), x, err), false
 	}
-	return t.judge(received)
+	return t.judge(received, h)
 }
 
 // head is the header of the request for the target.
@@ -150,11 +153,16 @@
 }
 
 // judge decides what an answer of the target says.
-func (t *targetSide) judge(r *received) (a *answer, observed bool) {
+func (t *targetSide) judge(r *received, h hop) (a *answer, observed bool) {
 	d := t.courier.settings.dialect
 	a = &r.answer
 	switch {
-	case r.header(d.NotRun()) != "" || r.status == http.StatusMisdirectedRequest:
+	case r.status == http.StatusMisdirectedRequest:
+		// Another run of the target, or another one, has the address.
+		a.discard()
+		t.courier.desk.misdirected(time.Now(), h.instance)
+		return notRun(basillift.ReasonNoTarget, 0), false
+	case r.header(d.NotRun()) != "":
 		a.discard()
 		retry, _ := strconv.ParseFloat(r.header("Retry-After"), 64)
 		refusal := notRun(basillift.ReasonTarget, time.Duration(retry*float64(time.Second)))
