Slot times start with a prior of half the objective; first observations count in full

Cause: after a start the expected wait was zero until the first request had ended, so that queues filled without bound.

--- a/basillift/bladmit/goalqueue.go
+++ b/basillift/bladmit/goalqueue.go
@@ -15,8 +15,9 @@
 	// certainty is how many mean deviations above its mean slot time a request is
 	// given, so that 19 of 20 admitted requests keep their goal: slot times lean to the long side.
 	certainty = 2.5
-	// unknownHold is the share of its goal that a request of an unknown lane is assumed to hold a slot.
-	unknownHold = 0.25
+	// unknownHold is the share of its objective that a request of an unknown lane is assumed to hold a slot.
+	// Lanes are unknown after a start, when targets are slow as a rule.
+	unknownHold = 0.5
 	// freeShare is the share of its goal that a request may wait wherever the goal cannot be kept: so little
 	// is of no consequence to a caller that has to come back.
 	freeShare = 0.125
@@ -31,8 +32,9 @@
 	rank     int
 	goal     time.Time
 	deadline time.Time
-	patience time.Duration
-	nested   bool
+	// objective is the whole time within which the caller wants its answer.
+	objective time.Duration
+	nested    bool
 	// late is set by the queue for an offer whose goal cannot be kept any more.
 	late bool
 }
@@ -46,7 +48,7 @@
 // WithObjective sets the whole time within which the caller wants its answer, of
 // which the goal is what is left.
 func (o Offer) WithObjective(d time.Duration) Offer {
-	o.patience = time.Duration(float64(d) * freeShare)
+	o.objective = d
 	return o
 }
 
@@ -110,16 +112,21 @@
 type mean struct {
 	value     float64
 	deviation float64
-	known     bool
+	count     int
 }
 
+func (m *mean) known() bool { return m != nil && m.count > 0 }
+
 func (m *mean) add(v float64) {
-	if !m.known {
-		m.value, m.deviation, m.known = v, v/2, true
+	m.count++
+	if m.count == 1 {
+		m.value, m.deviation = v, v/2
 		return
 	}
-	m.deviation += (math.Abs(v-m.value) - m.deviation) * holdWeight
-	m.value += (v - m.value) * holdWeight
+	// The first observations count in full, so that a start value does not last.
+	weight := max(holdWeight, 1/float64(m.count))
+	m.deviation += (math.Abs(v-m.value) - m.deviation) * weight
+	m.value += (v - m.value) * weight
 }
 
 // NewGoalQueue returns an empty queue for a target with the given slots.
@@ -147,17 +154,17 @@
 	if q.closed != basillift.ReasonNone {
 		return Decision{verdict: VerdictRefuse, reason: q.closed}
 	}
-	o.late = !o.nested && now.Add(seconds(q.hold(now, o))).After(o.goal)
+	o.late = !o.nested && now.Add(seconds(q.hold(o))).After(o.goal)
 	t := &ticket{offer: o}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
 		q.start(now, t)
 		return Decision{verdict: VerdictRun}
 	}
 	position, _ := slices.BinarySearchFunc(q.waiting, t, before)
-	wait := q.expected(position)
+	wait := q.expected(position, o)
 	latest := q.latest(now, o)
 	if now.Add(wait).After(latest) {
-		return Decision{verdict: VerdictRefuse, reason: basillift.ReasonOverload, retryAfter: max(0, q.expected(len(q.waiting)))}
+		return Decision{verdict: VerdictRefuse, reason: basillift.ReasonOverload, retryAfter: q.expected(len(q.waiting), o)}
 	}
 	q.waiting = slices.Insert(q.waiting, position, t)
 	return Decision{verdict: VerdictWait, until: latest}
@@ -166,12 +173,12 @@
 // latest is when an offer must have started: so that its goal is kept, or after the
 // wait that is of no consequence.
 func (q *GoalQueue) latest(now time.Time, o Offer) time.Time {
-	hold := seconds(q.hold(now, o))
+	hold := seconds(q.hold(o))
 	if o.nested {
 		return o.deadline.Add(-hold)
 	}
 	latest := o.goal.Add(-hold)
-	if free := now.Add(o.patience); free.After(latest) {
+	if free := now.Add(time.Duration(float64(o.objective) * freeShare)); free.After(latest) {
 		latest = free
 	}
 	if end := o.deadline.Add(-hold); end.Before(latest) {
@@ -181,27 +188,32 @@
 }
 
 // hold is how long an offer will hold a slot at most, as a rule, in seconds.
-func (q *GoalQueue) hold(now time.Time, o Offer) float64 {
-	if m := q.lanes[o.lane]; m != nil && m.known {
+func (q *GoalQueue) hold(o Offer) float64 {
+	if m := q.lanes[o.lane]; m.known() {
 		return m.value + certainty*m.deviation
 	}
-	return unknownHold * max(0, o.goal.Sub(now).Seconds())
+	return unknownHold * o.objective.Seconds()
 }
 
-// expected is the wait behind the first waiting tickets.
-func (q *GoalQueue) expected(position int) time.Duration {
-	work := q.all.value
+// expected is the wait of an offer behind the first waiting tickets.
+func (q *GoalQueue) expected(position int, o Offer) time.Duration {
+	work := q.meanOf("", o)
 	for _, t := range q.waiting[:position] {
-		work += q.laneMean(t.offer.lane)
+		work += q.meanOf(t.offer.lane, t.offer)
 	}
 	return seconds(work / float64(q.slots))
 }
 
-func (q *GoalQueue) laneMean(lane string) float64 {
-	if m := q.lanes[lane]; m != nil && m.known {
+// meanOf is how long a request of a lane holds a slot, in seconds; of any lane if it is unknown.
+func (q *GoalQueue) meanOf(lane string, o Offer) float64 {
+	switch m := q.lanes[lane]; {
+	case m.known():
 		return m.value
+	case q.all.known():
+		return q.all.value
+	default:
+		return unknownHold * o.objective.Seconds()
 	}
-	return q.all.value
 }
 
 // before orders waiting tickets: calls of targets, then by rank, late ones last, then by goal.
@@ -265,7 +277,7 @@
 }
 
 // RetryAfter is when a request of the last place in the queue would start.
-func (q *GoalQueue) RetryAfter() time.Duration { return q.expected(len(q.waiting)) }
+func (q *GoalQueue) RetryAfter() time.Duration { return q.expected(len(q.waiting), Offer{}) }
 
 func (q *GoalQueue) dispatch(now time.Time) []uint64 {
 	var started []uint64
