--- a/basillift/bladmin/doc.go
+++ b/basillift/bladmin/doc.go
@@ -17,4 +17,9 @@
 //	GET  /metrics   Prometheus text
 //	GET  /health    200 while the process answers
 //	GET  /ready     200 when the daemon serves calls, 503 otherwise
+//
+// A daemon that routes by table has NewTableServer instead, with /metrics, /health, /ready and
+//
+//	GET  /table     the routing table in force, in the form of bltable.Parse
+//	GET  /explain   query host and path; JSON array of steps
 package bladmin
--- a/basillift/bladmin/server.go
+++ b/basillift/bladmin/server.go
@@ -57,15 +57,19 @@
 	r.GET("/metrics", server.metrics)
 	r.GET("/health", server.health)
 	r.GET("/ready", server.ready)
-	server.http = &fasthttp.Server{
-		Handler:            r.Handler,
+	server.http = newHTTP(r.Handler)
+	return server
+}
+
+func newHTTP(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:            h,
 		Name:               "basilliftd",
 		MaxRequestBodySize: maxRequest,
 		ReadTimeout:        30 * time.Second,
 		IdleTimeout:        time.Minute,
 		CloseOnShutdown:    true,
 	}
-	return server
 }
 
 // Run serves the listener until Stop.
--- /dev/null
+++ b/basillift/bladmin/table.go
@@ -0,0 +1,101 @@
+package bladmin
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bltable"
+)
+
+// TableSource is what a daemon that routes by table shows to operators.
+type TableSource interface {
+	// Ready reports whether the daemon serves requests.
+	Ready() bool
+	// Table is the routing table in force; nil before the first one.
+	Table() *bltable.Table
+	// ExplainRoute says step by step where a request would go.
+	ExplainRoute(now time.Time, host, path string) []string
+	// WriteMetrics writes the daemon's own metrics as Prometheus text.
+	WriteMetrics(w io.Writer)
+}
+
+// tablePages answers operators of a daemon that routes by table.
+type tablePages struct{ source TableSource }
+
+// NewTableServer returns a server for one daemon that routes by table.
+func NewTableServer(s TableSource) *Server {
+	p := &tablePages{source: s}
+	r := router.New()
+	r.GET("/table", p.table)
+	r.GET("/explain", p.explain)
+	r.GET("/metrics", p.metrics)
+	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusOK) })
+	r.GET("/ready", p.ready)
+	return &Server{http: newHTTP(r.Handler)}
+}
+
+func (p *tablePages) table(ctx *fasthttp.RequestCtx) {
+	t := p.source.Table()
+	if t == nil {
+		ctx.Error("no routing table is in force yet", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	data, err := bltable.Format(t.Routing())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+func (p *tablePages) explain(ctx *fasthttp.RequestCtx) {
+	q := ctx.QueryArgs()
+	host, path := string(q.Peek("host")), string(q.Peek("path"))
+	if host == "" || path == "" {
+		ctx.Error("query host or path: found nothing, allowed are a host name and a path", fasthttp.StatusBadRequest)
+		return
+	}
+	writeJSON(ctx, p.source.ExplainRoute(time.Now(), host, path))
+}
+
+func (p *tablePages) metrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; charset=utf-8")
+	p.source.WriteMetrics(ctx)
+	metrics.WriteProcessMetrics(ctx)
+}
+
+func (p *tablePages) ready(ctx *fasthttp.RequestCtx) {
+	if !p.source.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// Table asks for the routing table in force.
+func (c *Client) Table() (basillift.Routing, error) {
+	body, err := c.do(fasthttp.MethodGet, "/table")
+	if err != nil {
+		return basillift.Routing{}, err
+	}
+	r, err := bltable.Parse(body)
+	if err != nil {
+		return basillift.Routing{}, fmt.Errorf("table of %s: %w: %w", c.address, ErrAnswer, err)
+	}
+	return r, nil
+}
+
+// ExplainRoute asks where a request would go.
+func (c *Client) ExplainRoute(host, path string) ([]string, error) {
+	var q fasthttp.Args
+	q.Set("host", host)
+	q.Set("path", path)
+	var steps []string
+	err := c.getJSON("/explain?"+q.String(), &steps)
+	return steps, err
+}
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -65,7 +65,9 @@
 	defer cancel()
 	c.allowance.Requested(r.arrived, j.service, c.fleet.Machines())
 	a := s.travel(ctx, j)
-	c.trail.ended(time.Now(), r.header(c.settings.dialect.RequestID()), table.Version(), j, a)
+	now := time.Now()
+	c.counters.ended(now, j, a)
+	c.trail.ended(now, r.header(c.settings.dialect.RequestID()), table.Version(), j, a)
 	return a
 }
 
@@ -104,7 +106,13 @@
 			a.discard()
 			return s.expired(ctx, course, ending)
 		}
-		repeat := func() bool { return c.allowance.Take(now, j.service, c.fleet.Machines()) }
+		repeat := func() bool {
+			taken := c.allowance.Take(now, j.service, c.fleet.Machines())
+			if taken {
+				c.counters.repeats.Inc()
+			}
+			return taken
+		}
 		switch course.Next(now, ending, j.request.whole(), repeat) {
 		case blretry.FollowAnswer:
 			return a
@@ -158,6 +166,7 @@
 	a, ending := s.send(ctx, j, target)
 	ended := time.Now()
 	c.placer.Ended(ended, target, ask, result(ctx, ending, a.silent), ended.Sub(now), a.load)
+	c.counters.attempt(ending)
 	j.steps = append(j.steps, step{instance: instance, ending: ending, reason: a.reason, took: ended.Sub(now), news: news})
 	if ending == blretry.EndingAnswered {
 		c.sizes.observe(j.route.Name(), len(a.body))
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -49,6 +49,7 @@
 	sizes     *sizes
 	patience  *bladmit.Patience
 	trail     *trail
+	counters  *counters
 	news      basillift.Freshness
 	targets   *targetSide
 	callers   *server
@@ -72,6 +73,7 @@
 		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), patience: bladmit.NewPatience(), trail: newTrail(log),
 	}
 	c.leaving.Store(int64(s.leaving))
+	c.counters = newCounters(c)
 	c.targets = &targetSide{courier: c}
 	c.callers = newServer(s.callers, &callerSide{courier: c})
 	c.mesh = newServer(s.mesh, c.targets)
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -82,6 +82,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	c.counters.held.Update(time.Since(now).Seconds())
 	a, observed := t.ask(ctx, r, h)
 	if a.rest == nil {
 		c.desk.leave(time.Now(), id, observed)
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -1,6 +1,7 @@
 package blplace
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"slices"
@@ -332,6 +333,25 @@
 	return now.Sub(n.reported)
 }
 
+// Explain describes what is known of a target, and what it would cost a request.
+func (p *Placer) Explain(now time.Time, t *blfleet.Target, a Ask) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	e := t.Endpoint()
+	n := p.peer(now, e.Instance())
+	state := "usable"
+	if p.paused(now, e) {
+		state = "left out"
+	}
+	news := "no report of its load"
+	if !n.reported.IsZero() {
+		news = fmt.Sprintf("%d run and %d wait on %d slots for %s each, as of %s ago", n.load.Running(), n.load.Queued(),
+			n.load.Slots(), n.load.Hold().Round(time.Millisecond), now.Sub(n.reported).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s, in %s, %d of this daemon in flight, failure rate %.2f, %s, cost %.3f",
+		state, e.Domain(), n.inFlight, n.failures, news, p.cost(now, t, a))
+}
+
 // Forget drops what is known of targets that were not looked at for a while.
 func (p *Placer) Forget(now time.Time, after time.Duration) {
 	p.mutex.Lock()
--- /dev/null
+++ b/basillift/bltable/file.go
@@ -0,0 +1,146 @@
+package bltable
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+
+	"basillift.dev/basillift"
+)
+
+// errFile means that a file is not a routing table.
+var errFile = eris.New("not a routing table")
+
+// File is the routing table as operators keep it, in JSON with comments. Times are texts with the unit ms or s.
+type File struct {
+	Version  uint64        `json:"version"`
+	Services []FileService `json:"services"`
+	Routes   []FileRoute   `json:"routes"`
+	Limits   FileLimits    `json:"limits"`
+}
+
+// FileService is a service and the bounds of its targets.
+type FileService struct {
+	Name        string `json:"name"`
+	Health      string `json:"health,omitempty"`
+	Connections int    `json:"connections,omitempty"`
+}
+
+// FileRoute is a route; To has one entry unless the route is split.
+type FileRoute struct {
+	Name     string      `json:"name"`
+	Host     string      `json:"host"`
+	Prefix   string      `json:"prefix"`
+	Kind     string      `json:"kind"`
+	To       []FileShare `json:"to"`
+	Timeout  string      `json:"timeout,omitempty"`
+	Goal     string      `json:"goal,omitempty"`
+	Priority int         `json:"priority,omitempty"`
+	Attempts int         `json:"attempts"`
+}
+
+// FileShare is a service with its weight.
+type FileShare struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// FileLimits are the limits of callers, in bytes and times.
+type FileLimits struct {
+	Header        int    `json:"header,omitempty"`
+	Body          int    `json:"body,omitempty"`
+	HeaderTimeout string `json:"headerTimeout,omitempty"`
+	IdleTimeout   string `json:"idleTimeout,omitempty"`
+}
+
+// Parse reads a routing table from JSON with comments. Unknown fields are refused.
+func Parse(data []byte) (basillift.Routing, error) {
+	standard, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return basillift.Routing{}, fmt.Errorf("parse table: %w", errors.Join(basillift.ErrRefused, err))
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	var f File
+	if err = decoder.Decode(&f); err != nil {
+		return basillift.Routing{}, fmt.Errorf("decode table: %w", errors.Join(basillift.ErrRefused, errFile, err))
+	}
+	return f.routing()
+}
+
+func (f File) routing() (basillift.Routing, error) {
+	routes := make([]basillift.Route, 0, len(f.Routes))
+	for _, r := range f.Routes {
+		timeout, errTimeout := parseTime("timeout", r.Timeout)
+		goal, errGoal := parseTime("goal", r.Goal)
+		if err := errors.Join(errTimeout, errGoal); err != nil {
+			return basillift.Routing{}, fmt.Errorf("route %q: %w", r.Name, err)
+		}
+		shares := make([]basillift.Share, 0, len(r.To))
+		for _, s := range r.To {
+			shares = append(shares, basillift.NewShare(s.Service, s.Weight))
+		}
+		routes = append(routes, basillift.NewRoute(r.Name, r.Host, r.Prefix, basillift.RequestKind(r.Kind), shares...).
+			WithTimes(timeout, goal).WithPriority(r.Priority).WithAttempts(r.Attempts))
+	}
+	services := make([]basillift.ServiceLimits, 0, len(f.Services))
+	for _, s := range f.Services {
+		services = append(services, basillift.NewServiceLimits(s.Name, s.Health, s.Connections))
+	}
+	header, errHeader := parseTime("headerTimeout", f.Limits.HeaderTimeout)
+	idle, errIdle := parseTime("idleTimeout", f.Limits.IdleTimeout)
+	if err := errors.Join(errHeader, errIdle); err != nil {
+		return basillift.Routing{}, fmt.Errorf("limits: %w", err)
+	}
+	return basillift.NewRouting(f.Version, routes, services,
+		basillift.NewClientLimits(f.Limits.Header, f.Limits.Body, header, idle)), nil
+}
+
+func parseTime(field, text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, fmt.Errorf("field %s: found %q, allowed is a time such as 800ms: %w", field, text, basillift.ErrRefused)
+	}
+	return d, nil
+}
+
+// Format writes a table in the form that Parse reads.
+func Format(r basillift.Routing) ([]byte, error) {
+	f := File{Version: r.Version(), Limits: FileLimits{
+		Header: r.Limits().HeaderBytes(), Body: r.Limits().BodyBytes(),
+		HeaderTimeout: formatTime(r.Limits().HeaderTimeout()), IdleTimeout: formatTime(r.Limits().IdleTimeout()),
+	}}
+	for _, s := range r.Services() {
+		f.Services = append(f.Services, FileService{Name: s.Name(), Health: s.HealthPath(), Connections: s.Connections()})
+	}
+	for _, each := range r.Routes() {
+		route := FileRoute{
+			Name: each.Name(), Host: each.Host(), Prefix: each.Prefix(), Kind: string(each.Kind()), Priority: each.Priority(),
+			Attempts: each.Attempts(), Timeout: formatTime(each.Timeout()), Goal: formatTime(each.Goal()),
+		}
+		for _, s := range each.Shares() {
+			route.To = append(route.To, FileShare{Service: s.Service(), Weight: s.Weight()})
+		}
+		f.Routes = append(f.Routes, route)
+	}
+	data, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode table: %w", err)
+	}
+	return data, nil
+}
+
+func formatTime(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
--- a/basilliftctl/commands/check.go
+++ b/basilliftctl/commands/check.go
@@ -11,6 +11,7 @@
 	Customers string `long:"customers" value-name:"FILE" description:"the customers list; its parts stand beside it as FILE.1, FILE.2, ..."`
 	Plans     string `long:"plans" value-name:"FILE" description:"the plans list"`
 	Platform  string `long:"platform" value-name:"URL" description:"check the lists that the platform holds"`
+	Table     string `long:"table" value-name:"FILE" description:"check a routing table instead of lists"`
 	JSON      bool   `long:"json" description:"print the result as JSON"`
 }
 
@@ -30,7 +31,7 @@
 
 // Short implements Command.
 func (c *check) Short() string {
-	return "Check the customers and plans lists before or after publishing them"
+	return "Check the customers and plans lists, or a routing table, before publishing them"
 }
 
 // Long implements Command.
@@ -40,11 +41,15 @@
 Examples:
   basilliftctl check --customers customers.json --plans plans.json
   basilliftctl check --platform http://10.0.0.5:2400 --json
+  basilliftctl check --table table.json
 ` + exitCodes
 }
 
 // Run implements Command.
 func (c *check) Run(ctx context.Context, s Streams) error {
+	if c.Table != "" {
+		return s.checkTable(c.Table, c.JSON)
+	}
 	cut, err := c.read(ctx)
 	if invalid, ok := refusal(err); ok {
 		return c.refused(s, invalid)
--- a/basilliftctl/commands/diff.go
+++ b/basilliftctl/commands/diff.go
@@ -16,6 +16,9 @@
 	Platform     string `long:"platform" value-name:"URL" description:"compare with the lists that the platform holds"`
 	Customers    string `long:"customers" value-name:"FILE" description:"the new customers list"`
 	Plans        string `long:"plans" value-name:"FILE" description:"the new plans list"`
+	OldTable     string `long:"old-table" value-name:"FILE" description:"the routing table to compare with"`
+	Admin        string `long:"admin" value-name:"IP:PORT" description:"compare with the routing table in force on this daemon"`
+	Table        string `long:"table" value-name:"FILE" description:"the new routing table"`
 	JSON         bool   `long:"json" description:"print the result as JSON"`
 }
 
@@ -55,7 +58,9 @@
 func (d *diff) Name() string { return "diff" }
 
 // Short implements Command.
-func (d *diff) Short() string { return "Show what each customer gains and loses by new lists" }
+func (d *diff) Short() string {
+	return "Show what each customer gains and loses by new lists, or what a new routing table changes"
+}
 
 // Long implements Command.
 func (d *diff) Long() string {
@@ -66,11 +71,15 @@
   basilliftctl diff --platform http://10.0.0.5:2400 --customers customers.json --plans plans.json
   basilliftctl diff --old-customers a/customers.json --old-plans a/plans.json \
     --customers b/customers.json --plans b/plans.json --json
+  basilliftctl diff --admin 10.0.1.17:7103 --table table.json
 ` + exitCodes
 }
 
 // Run implements Command.
 func (d *diff) Run(ctx context.Context, s Streams) error {
+	if d.Table != "" {
+		return d.runTable(s)
+	}
 	from, err := d.readOld(ctx)
 	if err != nil {
 		return d.refused(s, "old lists", err)
@@ -90,6 +99,18 @@
 	return d.print(s, before, after)
 }
 
+func (d *diff) runTable(s Streams) error {
+	before, err := oldTable(d.OldTable, d.Admin)
+	if err != nil {
+		return err
+	}
+	after, err := readTable(d.Table)
+	if err != nil {
+		return err
+	}
+	return s.diffTables(before, after, d.JSON)
+}
+
 func (d *diff) readOld(ctx context.Context) (bllist.Cut, error) {
 	oldFiles := d.OldCustomers != "" && d.OldPlans != ""
 	noOldFiles := d.OldCustomers == "" && d.OldPlans == ""
--- a/basilliftctl/commands/explain.go
+++ b/basilliftctl/commands/explain.go
@@ -8,10 +8,13 @@
 
 // explain tells why a call would go where it goes.
 type explain struct {
-	Admin    string `long:"admin" value-name:"IP:PORT" required:"true" description:"admin address of the caller's daemon; it decides by its own failure domain"`
-	Customer string `long:"customer" required:"true" description:"customer of the call"`
-	Service  string `long:"service" required:"true" description:"service that is called"`
+	Admin    string `long:"admin" value-name:"IP:PORT" description:"admin address of the caller's daemon; it decides by its own failure domain"`
+	Customer string `long:"customer" description:"customer of the call"`
+	Service  string `long:"service" description:"service that is called"`
 	Method   string `long:"method" default:"GET" description:"HTTP method"`
+	Host     string `long:"host" description:"host of a request that is routed by table"`
+	Path     string `long:"path" description:"path of a request that is routed by table"`
+	Table    string `long:"table" value-name:"FILE" description:"ask this routing table instead of a daemon"`
 	JSON     bool   `long:"json" description:"print the steps as JSON"`
 }
 
@@ -27,14 +30,16 @@
 
 Example:
   basilliftctl explain --admin 10.0.1.17:7103 --customer kobuleti --service catalogue --method POST
+  basilliftctl explain --admin 10.0.1.17:7103 --host shop.example --path /browse/7
+  basilliftctl explain --table table.json --host shop.example --path /browse/7
 ` + exitCodes
 }
 
 // Run implements Command.
 func (c *explain) Run(_ context.Context, s Streams) error {
-	steps, err := bladmin.NewClient(c.Admin).Explain(c.Customer, c.Service, c.Method)
+	steps, err := c.steps()
 	if err != nil {
-		return failure(err)
+		return err
 	}
 	if c.JSON {
 		return s.printJSON(steps)
@@ -44,3 +49,20 @@
 	}
 	return nil
 }
+
+func (c *explain) steps() ([]string, error) {
+	byTable := c.Host != "" || c.Path != "" || c.Table != ""
+	switch {
+	case c.Admin == "" && c.Table == "":
+		return nil, usage("give --admin, or --table with --host and --path")
+	case byTable:
+		return explainRoute(c.Table, c.Admin, c.Host, c.Path)
+	case c.Customer == "" || c.Service == "":
+		return nil, usage("give --customer and --service, or --host and --path")
+	}
+	steps, err := bladmin.NewClient(c.Admin).Explain(c.Customer, c.Service, c.Method)
+	if err != nil {
+		return nil, failure(err)
+	}
+	return steps, nil
+}
--- /dev/null
+++ b/basilliftctl/commands/table_test.go
@@ -0,0 +1,77 @@
+package commands
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/bltable"
+)
+
+const shopTable = `{"version": 12,
+  "services": [{"name": "catalogue"}, {"name": "gallery"}],
+  "routes": [{"name": "browse", "host": "shop.example", "prefix": "/browse/", "kind": "idempotent", "attempts": 2,
+    "to": [{"service": "catalogue", "weight": 1}], "timeout": "1200ms", "goal": "300ms"}],
+  "limits": {}}`
+
+// tableDaemon is a daemon that has a table in force.
+type tableDaemon struct{ table *bltable.Table }
+
+func (d tableDaemon) Ready() bool            { return true }
+func (d tableDaemon) Table() *bltable.Table  { return d.table }
+func (d tableDaemon) WriteMetrics(io.Writer) {}
+func (d tableDaemon) ExplainRoute(_ time.Time, host, path string) []string {
+	return d.table.Explain(host, path)
+}
+
+func serveTable(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	r, err := bltable.Parse([]byte(shopTable))
+	is.NoErr(err)
+	built, err := bltable.Build(r)
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := bladmin.NewTableServer(tableDaemon{built})
+	go func() { _ = server.Run(l) }()
+	t.Cleanup(func() { _ = server.Stop() })
+	return l.Addr().String()
+}
+
+// Guards against a routing table whose faults or changes an operator does not see before publishing it.
+func TestTables(t *testing.T) {
+	path := folder(t, map[string]string{
+		"a.json": shopTable,
+		"b.json": strings.Replace(shopTable, "1200ms", "2s", 1),
+		"c.json": strings.Replace(shopTable, `"catalogue", "weight"`, `"stock", "weight"`, 1),
+		"d.json": "{",
+	})
+	admin := serveTable(t)
+	cases := []struct {
+		name      string
+		code      int
+		want      string
+		arguments []string
+	}{
+		{"check", 0, "ok: table version 12, 1 routes, 2 services", []string{"check", "--table", path("a.json")}},
+		{"check as JSON", 0, `"routes": 1`, []string{"check", "--json", "--table", path("a.json")}},
+		{"check a bad one", CodeDiffers, `field service: found "stock"`, []string{"check", "--table", path("c.json")}},
+		{"check no table", CodeUnreadable, "parse table", []string{"check", "--table", path("d.json")}},
+		{"diff", CodeDiffers, "browse timeout: 1.2s -> 2s", []string{"diff", "--old-table", path("a.json"), "--table", path("b.json")}},
+		{"diff of the same", 0, "version 12 -> 12", []string{"diff", "--old-table", path("a.json"), "--table", path("a.json")}},
+		{"diff with a daemon", CodeDiffers, "browse timeout: 1.2s -> 2s", []string{"diff", "--admin", admin, "--table", path("b.json")}},
+		{"diff with nothing", CodeUsage, "--old-table or --admin", []string{"diff", "--table", path("b.json")}},
+		{"explain by file", 0, "route: browse", []string{"explain", "--table", path("a.json"), "--host", "shop.example", "--path", "/browse/1"}},
+		{"explain by daemon", 0, "route: browse", []string{"explain", "--admin", admin, "--host", "shop.example", "--path", "/browse/1"}},
+		{"explain without a path", CodeUsage, "--host and --path", []string{"explain", "--admin", admin, "--host", "shop.example"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { expect(t, c.code, c.want, c.arguments...) })
+	}
+}
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand"
+	"net"
 	"os"
 	"os/signal"
 	"reflect"
@@ -16,6 +18,7 @@
 	"go.uber.org/dig"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmin"
 	"basillift.dev/basillift/blcourier"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/blfollow"
@@ -44,6 +47,7 @@
 	fleet    *blfleet.Fleet
 	courier  *blcourier.Courier
 	registry basillift.Registry
+	admin    *bladmin.Server
 	tasks    sync.WaitGroup
 	failed   chan error
 }
@@ -89,10 +93,12 @@
 func newRouted(s blsettings.Settings, l *bllog.Logger, tables *bltable.Holder, fleet *blfleet.Fleet,
 	courier *blcourier.Courier, registry basillift.Registry,
 ) *routed {
-	return &routed{
+	r := &routed{
 		settings: s, log: l, tables: tables, fleet: fleet, courier: courier, registry: registry,
-		failed: make(chan error, 2),
+		failed: make(chan error, 3),
 	}
+	r.admin = bladmin.NewTableServer(r)
+	return r
 }
 
 // run serves until ctx ends or a part fails, and then stops in order.
@@ -101,6 +107,10 @@
 	if err := r.courier.Listen(); err != nil {
 		return fmt.Errorf("courier: %w", errors.Join(errListen, err))
 	}
+	admin, err := net.Listen("tcp", r.settings.Addresses().Admin())
+	if err != nil {
+		return fmt.Errorf("admin: %w", errors.Join(errListen, err))
+	}
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	follower := blfollow.New(r.registry, r, rand.New(rand.NewSource(time.Now().UnixNano())))
@@ -108,8 +118,8 @@
 	r.start(func() error { return r.courier.Run(serving) })
 	r.start(func() error { return follower.Run(serving) })
 	r.log.Event(bllog.Started()).Str("domain", string(r.settings.Place().FailureDomain())).Send()
+	r.start(func() error { return r.admin.Run(admin) })
 	r.start(func() error { r.loop(serving); return nil })
-	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-r.failed:
@@ -118,6 +128,7 @@
 	draining, done := context.WithTimeout(context.Background(), r.settings.Grace()-stopMargin)
 	defer done()
 	r.courier.Drain(draining)
+	err = errors.Join(err, r.admin.Stop())
 	cancel()
 	r.tasks.Wait()
 	r.log.Event(bllog.Stopped()).Send()
@@ -165,6 +176,24 @@
 	})
 }
 
+// Ready implements bladmin.TableSource.
+func (r *routed) Ready() bool { return r.courier.Ready() }
+
+// Table implements bladmin.TableSource.
+func (r *routed) Table() *bltable.Table { return r.tables.Current() }
+
+// WriteMetrics implements bladmin.TableSource.
+func (r *routed) WriteMetrics(w io.Writer) { r.courier.WriteMetrics(w) }
+
+// ExplainRoute implements bladmin.TableSource.
+func (r *routed) ExplainRoute(now time.Time, host, path string) []string {
+	t := r.tables.Current()
+	if t == nil {
+		return []string{"table: none is in force yet; the answer is 503"}
+	}
+	return append(t.Explain(host, path), r.courier.ExplainTargets(now, host, path)...)
+}
+
 // Replace implements blfollow.Sink.
 func (r *routed) Replace(now time.Time, all []basillift.Publication) {
 	endpoints := make([]basillift.Publication, 0, len(all))
