--- a/basillift/blcourier/answer.go
+++ b/basillift/blcourier/answer.go
@@ -113,15 +113,7 @@
 	if a.retryAfter > 0 && a.status == http.StatusServiceUnavailable {
 		b = appendField(b, "Retry-After", retrySeconds(a.retryAfter))
 	}
-	switch {
-	case a.rest != nil && a.length < 0:
-		b = appendField(b, "Transfer-Encoding", "chunked")
-	case a.bodyless && a.length < 0:
-	case a.bodyless || a.rest != nil:
-		b = appendField(b, "Content-Length", strconv.Itoa(a.length))
-	default:
-		b = appendField(b, "Content-Length", strconv.Itoa(len(a.body)))
-	}
+	b = a.appendFraming(b)
 	if internal {
 		b = a.appendInternal(b)
 	}
@@ -135,6 +127,20 @@
 	_, _ = w.Write(b)
 }
 
+// appendFraming says where the body ends.
+func (a *answer) appendFraming(b []byte) []byte {
+	switch {
+	case a.rest != nil && a.length < 0:
+		return appendField(b, "Transfer-Encoding", "chunked")
+	case a.bodyless && a.length < 0:
+		return b
+	case a.bodyless || a.rest != nil:
+		return appendField(b, "Content-Length", strconv.Itoa(a.length))
+	default:
+		return appendField(b, "Content-Length", strconv.Itoa(len(a.body)))
+	}
+}
+
 func (a *answer) appendInternal(b []byte) []byte {
 	b = appendField(b, headerHop, a.formatOutcome())
 	if a.load != nil {
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -247,7 +247,7 @@
 	name := s.courier.settings.dialect.Caller()
 	kept := fields[:0]
 	for _, f := range fields {
-		if !equalFold(f.name, name) {
+		if !strings.EqualFold(f.name, name) {
 			kept = append(kept, f)
 		}
 	}
@@ -291,17 +291,3 @@
 		return blretry.EndingBroken
 	}
 }
-
-func equalFold(a, b string) bool { return len(a) == len(b) && strings.EqualFold(a, b) }
-
-// connectionOptions returns the value of the Connection header.
-func connectionOptions(r *request) string { return r.header("Connection") }
-
-func listsOption(options, name string) bool {
-	for option := range strings.SplitSeq(options, ",") {
-		if strings.EqualFold(strings.TrimSpace(option), name) {
-			return true
-		}
-	}
-	return false
-}
--- a/basillift/blcourier/request.go
+++ b/basillift/blcourier/request.go
@@ -150,7 +150,7 @@
 	n, err := b.source.Read(p)
 	b.left -= n
 	if b.left < 0 {
-		return n, errTooLarge
+		return n, fmt.Errorf("read body: %w", errTooLarge)
 	}
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
@@ -237,5 +237,5 @@
 			return n, io.EOF
 		}
 	}
-	return n, errTrailer
+	return n, fmt.Errorf("read body: %w", errTrailer)
 }
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -184,18 +186,11 @@
 
 // appendFields adds the headers that are passed on, without those that the daemon sets itself, and the framing.
 func appendFields(b []byte, r *request, own ...string) []byte {
-	listed := connectionOptions(r)
-fields:
+	options := r.header("Connection")
 	for _, f := range r.fields {
-		if connectionHeader(f.name) || internalHeader(f.name) || listed != "" && listsOption(listed, f.name) {
-			continue
+		if !connectionHeader(f.name) && !internalHeader(f.name) && !listsOption(options, f.name) && !listed(own, f.name) {
+			b = appendField(b, f.name, f.value)
 		}
-		for _, name := range own {
-			if equalFold(f.name, name) {
-				continue fields
-			}
-		}
-		b = appendField(b, f.name, f.value)
 	}
 	switch {
 	case r.rest != nil && r.size < 0:
@@ -207,3 +202,21 @@
 	}
 	return b
 }
+
+// listed reports whether a header's name is among others.
+func listed(names []string, name string) bool {
+	return slices.ContainsFunc(names, func(each string) bool { return strings.EqualFold(each, name) })
+}
+
+// listsOption reports whether the value of a Connection header names a header.
+func listsOption(options, name string) bool {
+	if options == "" {
+		return false
+	}
+	for option := range strings.SplitSeq(options, ",") {
+		if strings.EqualFold(strings.TrimSpace(option), name) {
+			return true
+		}
+	}
+	return false
+}
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -215,6 +215,7 @@
 	}
 }
 
+// Close closes the pools of all addresses.
 func (p *Set) Close() {
 	for _, each := range p.all() {
 		each.Close()
