--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -14,9 +14,8 @@
 	// returnGrace is how long after the registry's return an entry may be missing: targets publish
 	// themselves again within 2 s, by the registry's contract.
 	returnGrace = 2 * time.Second
-	// catchUp is how long after the return removals may be from the time of the outage: one answer. A later
-	// one is news of a target that leaves.
-	catchUp = 50 * time.Millisecond
+	// listingTime is how long after the return a listing may be complete that began with it.
+	listingTime = time.Second
 )
 
 // removedMemory is how long a removed entry is remembered: longer than a delayed entry is on its way.
@@ -89,7 +88,8 @@
 	return r.target.endpoint, r.drains, true
 }
 
-// Returned tells that the registry answers again after an outage.
+// Returned tells that the registry answers again after an outage. What that answer
+// says is applied with the same present time.
 func (f *Fleet) Returned(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -116,7 +116,7 @@
 	}
 	for key, r := range f.records {
 		if !listed[key] {
-			f.remove(now, key, *r)
+			f.remove(now, key, *r, !f.returned.IsZero() && now.Sub(f.returned) < listingTime)
 		}
 	}
 	f.publish()
@@ -151,7 +151,9 @@
 		if held != nil {
 			gone := *held
 			gone.revision = p.Revision()
-			f.remove(now, p.Key(), gone)
+			// Removals in the answer that ends the outage are from the time of the outage; a later one is
+			// news of a target that leaves.
+			f.remove(now, p.Key(), gone, now.Equal(f.returned))
 		}
 		return true
 	}
@@ -180,13 +182,13 @@
 	return b
 }
 
-// remove ends an entry, or keeps it while the registry may have lost it. Records that readers
-// may hold are never changed.
-func (f *Fleet) remove(now time.Time, key string, r record) {
+// remove ends an entry, or keeps it for a while if the registry may have lost it in an outage. Records
+// that readers may hold are never changed.
+func (f *Fleet) remove(now time.Time, key string, r record, maybeLost bool) {
 	if !r.removed.IsZero() {
 		return
 	}
-	if r.target.endpoint.State().Willing() && !f.returned.IsZero() && now.Sub(f.returned) < catchUp {
+	if maybeLost && r.target.endpoint.State().Willing() {
 		r.missing = true
 		f.records[key] = &r
 		return
--- a/basillift/blfleet/fleet_test.go
+++ b/basillift/blfleet/fleet_test.go
@@ -135,10 +135,21 @@
 	f.Apply(start, ready("i1", 1, "x:1"))
 	f.Apply(start, ready("i2", 2, "x:2"))
 	f.Returned(start)
-	f.Apply(start.Add(200*time.Millisecond), removal("i2", 3))
+	f.Apply(start.Add(30*time.Millisecond), removal("i2", 3))
 	assertTargets(t, f, "i1")
 }
 
+// Guards against a target that is given up because its entry expired while the registry was away.
+func TestExpiredDuringOutage(t *testing.T) {
+	f := New()
+	f.Apply(start, ready("i1", 1, "x:1"))
+	f.Returned(start)
+	f.Apply(start, removal("i1", 2))
+	assertTargets(t, f, "i1")
+	f.Tick(start.Add(returnGrace))
+	assertTargets(t, f)
+}
+
 // Guards against a daemon that passes requests to its own target for ever after its entry was removed.
 func TestRemovedTargetIsLeaving(t *testing.T) {
 	is := is.New(t)
