No grace after a cut of this daemon only; sooner tries at the store

Change: a daemon that heard of news from others while it got no answer gives no grace; dialling takes 0.4 s at most, pauses 0.4 s.

--- a/basillift/blfollow/follower.go
+++ b/basillift/blfollow/follower.go
@@ -24,8 +24,9 @@
 	Apply(now time.Time, p basillift.Publication)
 	// Lost tells that the registry does not answer any more.
 	Lost(now time.Time, err error)
-	// Returned tells that the registry answers again.
-	Returned(now time.Time)
+	// Returned tells that the registry answers again. Cut means that it had been away for this daemon only, so
+	// that it cannot have lost entries.
+	Returned(now time.Time, cut bool)
 }
 
 // Follower asks the registry and hands what it learns to a sink. It implements basillift.Freshness.
@@ -114,9 +115,9 @@
 	}
 	now := time.Now()
 	f.mutex.Lock()
-	returned := f.state.Changed(now, l)
+	returned, cut := f.state.Changed(now, l), f.state.Cut()
 	f.mutex.Unlock()
-	f.greet(now, returned)
+	f.greet(now, returned, cut)
 	for _, p := range l.Publications() {
 		f.sink.Apply(now, p)
 	}
@@ -131,8 +132,9 @@
 	now := time.Now()
 	f.mutex.Lock()
 	all, complete, returned := f.state.Listed(now, l)
+	cut := f.state.Cut()
 	f.mutex.Unlock()
-	f.greet(now, returned)
+	f.greet(now, returned, cut)
 	if complete {
 		f.sink.Replace(now, all)
 	}
@@ -159,8 +161,8 @@
 	return l, nil
 }
 
-func (f *Follower) greet(now time.Time, returned bool) {
+func (f *Follower) greet(now time.Time, returned, cut bool) {
 	if returned {
-		f.sink.Returned(now)
+		f.sink.Returned(now, cut)
 	}
 }
--- a/basillift/blfollow/state.go
+++ b/basillift/blfollow/state.go
@@ -15,9 +15,10 @@
 	changeWait = 3 * time.Second
 	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
 	changePause = 400 * time.Millisecond
-	// retryFirst and retryMost bound the pause after failures.
+	// retryFirst and retryMost bound the pause after failures. A daemon counts as in touch 3 s after the end
+	// of a cut and has to be current by then.
 	retryFirst = 50 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
 	// outageAfter is the silence after which the registry counts as away: one wait and its answer.
 	outageAfter = changeWait + time.Second
 	// hearsayWait is how long another daemon may be ahead before the registry is asked again: a few of its
@@ -73,6 +74,8 @@
 	seen     uint64
 	heard    uint64
 	heardAt  time.Time
+	// cut is set while others are current although this daemon gets no answer.
+	cut bool
 }
 
 // NewState returns the state of a follower that knows nothing.
@@ -144,7 +147,7 @@
 	if s.away || s.failures < 2 && now.Sub(s.answered) < outageAfter {
 		return false
 	}
-	s.away = true
+	s.away, s.cut = true, s.heard > s.seen
 	return true
 }
 
@@ -158,9 +161,13 @@
 		return time.Time{}, false
 	}
 	s.heard, s.heardAt = revision, now
+	s.cut = s.cut || s.away
 	return now.Add(hearsayWait), true
 }
 
+// Cut reports whether the outage that ended last was this daemon's own: others heard the registry meanwhile.
+func (s *State) Cut() bool { return s.cut }
+
 // Overdue reports whether another daemon is ahead for too long.
 func (s *State) Overdue(now time.Time) bool {
 	return s.heard > s.seen && !now.Before(s.heardAt.Add(hearsayWait))
--- a/basillift/blfollow/state_test.go
+++ b/basillift/blfollow/state_test.go
@@ -95,3 +95,37 @@
 	is.Equal(s.Next(start).Pause(), changePause)
 	is.Equal(s.Next(start.Add(changePause)).Pause(), time.Duration(0))
 }
+
+// Guards against entries that are kept for a registry which was never away: only this daemon was cut off from it.
+func TestCut(t *testing.T) {
+	away := func(hear func(s *State)) bool {
+		s := newState()
+		s.Listed(start, basillift.NewListing(publications("a"), 7, ""))
+		s.Failed(start, basillift.ErrUnavailable)
+		s.Failed(start, basillift.ErrUnavailable)
+		hear(s)
+		is.New(t).True(s.Changed(start, basillift.NewListing(nil, 9, "")))
+		return s.Cut()
+	}
+	t.Run("others are ahead meanwhile", func(t *testing.T) {
+		is.New(t).True(away(func(s *State) { s.Hear(start, 5) }))
+	})
+	t.Run("nobody is ahead", func(t *testing.T) {
+		is.New(t).True(!away(func(s *State) { s.Hear(start, 1) }))
+	})
+}
+
+// Guards against a daemon that stays behind others because the answer to its wait was lost.
+func TestHearsay(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(publications("a"), 7, ""))
+	_, behind := s.Hear(start, 1)
+	is.True(!behind)
+	due, behind := s.Hear(start, 2)
+	is.True(behind)
+	is.True(!s.Overdue(start))
+	is.True(s.Overdue(due))
+	s.Changed(start, basillift.NewListing([]basillift.Publication{basillift.NewPublication("a", 2)}, 8, ""))
+	is.True(!s.Overdue(due))
+}
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -250,7 +250,9 @@
 }
 
 // Returned implements blfollow.Sink.
-func (r *routed) Returned(now time.Time) {
-	r.fleet.Returned(now)
-	r.log.Event(bllog.PlatformReturned()).Send()
+func (r *routed) Returned(now time.Time, cut bool) {
+	if !cut {
+		r.fleet.Returned(now)
+	}
+	r.log.Event(bllog.PlatformReturned()).Bool("cut", cut).Send()
 }
