--- a/basillift/blfollow/state.go
+++ b/basillift/blfollow/state.go
@@ -15,6 +15,10 @@
 	changeWait = 3 * time.Second
 	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
 	changePause = 400 * time.Millisecond
+	// transferShare bounds the use of a thin link by changes: the pause is so many times as long as the answer
+	// was on its way, up to transferPause, which leaves time for the next answer.
+	transferShare = 3
+	transferPause = 900 * time.Millisecond
 	// retryFirst and retryMost bound the pause after failures. A daemon counts as in touch 3 s after the end
 	// of a cut and has to be current by then.
 	retryFirst = 50 * time.Millisecond
@@ -23,7 +27,7 @@
 	outageAfter = changeWait + time.Second
 	// hearsayWait is how long another daemon may be ahead before the registry is asked again: a few of its
 	// answers, and the pause in a storm.
-	hearsayWait = changePause + 200*time.Millisecond
+	hearsayWait = transferPause + 200*time.Millisecond
 )
 
 // StepKind says what to ask the registry next.
@@ -70,6 +74,7 @@
 	failures int
 	answered time.Time
 	changed  time.Time
+	rest     time.Duration
 	away     bool
 	seen     uint64
 	heard    uint64
@@ -88,7 +93,7 @@
 		return Step{kind: StepList, after: s.after, pause: pause}
 	}
 	if s.failures == 0 {
-		pause = max(0, s.changed.Add(changePause).Sub(now))
+		pause = max(0, s.changed.Add(s.rest).Sub(now))
 	}
 	return Step{kind: StepChanges, revision: s.revision, wait: changeWait, pause: pause}
 }
@@ -133,6 +138,7 @@
 	s.see(l.Publications())
 	if len(l.Publications()) > 0 {
 		s.changed = now
+		s.rest = max(changePause, min(transferPause, transferShare*l.Transfer()))
 	}
 	return returned
 }
--- a/basillift/blfollow/state_test.go
+++ b/basillift/blfollow/state_test.go
@@ -96,6 +96,17 @@
 	is.Equal(s.Next(start.Add(changePause)).Pause(), time.Duration(0))
 }
 
+// Guards against changes that fill a thin link.
+func TestThinLink(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	s.Changed(start, basillift.NewListing(publications("a"), 8, "").WithTransfer(250*time.Millisecond))
+	is.Equal(s.Next(start).Pause(), 750*time.Millisecond)
+	s.Changed(start, basillift.NewListing(publications("a"), 9, "").WithTransfer(time.Second))
+	is.Equal(s.Next(start).Pause(), transferPause)
+}
+
 // Guards against entries that are kept for a registry which was never away: only this daemon was cut off from it.
 func TestCut(t *testing.T) {
 	away := func(hear func(s *State)) bool {
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -68,6 +68,7 @@
 	publications []Publication
 	revision     uint64
 	next         string
+	transfer     time.Duration
 }
 
 // NewListing returns an answer that is current as of a revision. next is the key
@@ -76,6 +77,15 @@
 	return Listing{publications: publications, revision: revision, next: next}
 }
 
+// WithTransfer sets how long the answer was on its way, without the wait before it.
+func (l Listing) WithTransfer(d time.Duration) Listing {
+	l.transfer = d
+	return l
+}
+
+// Transfer is how long the answer was on its way.
+func (l Listing) Transfer() time.Duration { return l.transfer }
+
 // Publications are the entries or changes of the answer, in the registry's order.
 func (l Listing) Publications() []Publication { return l.publications }
 
