--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -13,11 +13,17 @@
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/blplace"
 	"basillift.dev/basillift/blretry"
+	"basillift.dev/basillift/bltable"
 )
 
 const (
 	// answerMargin is the way of an answer between two daemons of a region.
 	answerMargin = 4 * time.Millisecond
+	// callerMargin is the way of an answer to a caller outside the VM, so that it still hears the end of its wait.
+	callerMargin = 5 * time.Millisecond
+	// firstTable is how long a request waits for the first routing table: some answers of the registry on a
+	// calm day, and an eighth of a usual goal.
+	firstTable = 50 * time.Millisecond
 	// comeBack is the Retry-After of a daemon that cannot say better, e.g. before its first routing table.
 	comeBack = 300 * time.Millisecond
 )
@@ -52,13 +58,13 @@
 
 func (s *callerSide) answer(ctx context.Context, r *request) *answer {
 	c := s.courier
-	table := c.tables.Current()
+	table := s.awaitTable(ctx)
 	if table == nil {
-		return notRun(basillift.ReasonNoVersion, comeBack)
+		return s.turnAway(r, notRun(basillift.ReasonNoVersion, comeBack))
 	}
 	route, found := table.Match(r.host, r.uri)
 	if !found {
-		return rejected(http.StatusNotFound, basillift.ReasonService)
+		return s.turnAway(r, rejected(http.StatusNotFound, basillift.ReasonService))
 	}
 	j := s.begin(r, route)
 	ctx, cancel := context.WithDeadline(ctx, j.hop.deadline)
@@ -71,6 +77,29 @@
 	return a
 }
 
+// awaitTable returns the table in force, which a daemon that has just started has in a moment; nil if it does not come.
+func (s *callerSide) awaitTable(ctx context.Context) *bltable.Table {
+	tables := s.courier.tables
+	if t := tables.Current(); t != nil {
+		return t
+	}
+	timer := time.NewTimer(firstTable)
+	defer timer.Stop()
+	select {
+	case <-tables.First():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return tables.Current()
+}
+
+// turnAway notes a request that does not get as far as a target.
+func (s *callerSide) turnAway(r *request, a *answer) *answer {
+	s.courier.counters.answered(a)
+	s.courier.trail.turnedAway(time.Now(), r.header(s.courier.settings.dialect.RequestID()), r, a)
+	return a
+}
+
 // begin decides what is fixed for all attempts.
 func (s *callerSide) begin(r *request, route *basillift.Route) *journey {
 	timeout := route.Timeout()
@@ -79,7 +108,7 @@
 	}
 	waited := time.Duration(0)
 	if own, ok := r.millis(s.courier.settings.dialect.Deadline()); ok {
-		timeout = min(timeout, own)
+		timeout = min(timeout, max(0, own-callerMargin))
 		waited = s.courier.patience.Observe(route.Name(), own)
 	}
 	objective := route.Goal()
--- a/basillift/blcourier/metrics.go
+++ b/basillift/blcourier/metrics.go
@@ -46,10 +46,15 @@
 	}
 }
 
-// ended counts a request of a caller.
-func (c *counters) ended(now time.Time, j *journey, a *answer) {
+// answered counts an answer to a caller by what is known about the request.
+func (c *counters) answered(a *answer) {
 	name := `basillift_requests_total{outcome="` + string(a.outcome) + `",reason="` + string(a.reason) + `"}`
 	c.set.GetOrCreateCounter(name).Inc()
+}
+
+// ended counts a request of a caller.
+func (c *counters) ended(now time.Time, j *journey, a *answer) {
+	c.answered(a)
 	c.duration.Update(now.Sub(j.request.arrived).Seconds())
 	if a.outcome == basillift.OutcomeDone && now.After(j.hop.goal) {
 		c.late.Inc()
--- a/basillift/blcourier/path_test.go
+++ b/basillift/blcourier/path_test.go
@@ -269,9 +269,13 @@
 	})
 	t.Run("no table yet", func(t *testing.T) {
 		f := startTarget(t, answerOK)
-		c := startEmptyMesh(t, f).dial(t, 0)
+		m := startEmptyMesh(t, f)
+		c := m.dial(t, 0)
 		c.send(get("1", "/get/x"))
 		c.assertAnswer(http.StatusServiceUnavailable, "")
+		c.send(get("2", "/get/x"))
+		m.publish(t, 1, time.Second)
+		c.assertAnswer(http.StatusOK, "")
 	})
 }
 
--- a/basillift/blcourier/trail.go
+++ b/basillift/blcourier/trail.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blretry"
@@ -56,22 +58,39 @@
 	return omitted, true
 }
 
-// ended writes the line of a request that has its final answer.
-func (t *trail) ended(now time.Time, id string, table uint64, j *journey, a *answer) {
-	plain := a.outcome == basillift.OutcomeDone && a.status < 500 && len(j.steps) == 1 && !now.After(j.hop.goal)
-	if t.log == nil || plain {
-		return
+// line starts a line about a request, unless it is left out.
+func (t *trail) line(now time.Time, id string, a *answer) (*zerolog.Event, bool) {
+	if t.log == nil {
+		return nil, false
 	}
 	omitted, ok := t.admit(now)
 	if !ok {
-		return
+		return nil, false
 	}
 	if omitted > 0 {
 		t.log.Event(bllog.LinesLeftOut()).Int("count", omitted).Send()
 	}
-	t.log.Event(bllog.RequestEnded()).
-		Str("id", id).Str("route", j.route.Name()).Str("to", j.service).Uint64("table", table).
-		Int("status", a.status).Str("outcome", string(a.outcome)).Str("reason", string(a.reason)).
+	return t.log.Event(bllog.RequestEnded()).Str("id", id).
+		Int("status", a.status).Str("outcome", string(a.outcome)).Str("reason", string(a.reason)), true
+}
+
+// turnedAway writes the line of a request that did not get as far as a target.
+func (t *trail) turnedAway(now time.Time, id string, r *request, a *answer) {
+	if line, ok := t.line(now, id, a); ok {
+		line.Str("host", r.host).Str("uri", r.uri).Dur("took", now.Sub(r.arrived)).Send()
+	}
+}
+
+// ended writes the line of a request that has its final answer.
+func (t *trail) ended(now time.Time, id string, table uint64, j *journey, a *answer) {
+	if a.outcome == basillift.OutcomeDone && a.status < 500 && len(j.steps) == 1 && !now.After(j.hop.goal) {
+		return
+	}
+	line, ok := t.line(now, id, a)
+	if !ok {
+		return
+	}
+	line.Str("route", j.route.Name()).Str("to", j.service).Uint64("table", table).
 		Dur("took", now.Sub(j.request.arrived)).Dur("goal", j.hop.objective).Dur("limit", j.hop.deadline.Sub(j.request.arrived)).
 		Str("attempts", formatSteps(j.steps)).Send()
 }
--- a/basillift/bltable/holder.go
+++ b/basillift/bltable/holder.go
@@ -11,14 +11,18 @@
 type Holder struct {
 	mutex   sync.Mutex
 	current atomic.Pointer[Table]
+	first   chan struct{}
 }
 
 // NewHolder returns a holder without a table.
-func NewHolder() *Holder { return &Holder{} }
+func NewHolder() *Holder { return &Holder{first: make(chan struct{})} }
 
 // Current is the table in force; nil before the first one.
 func (h *Holder) Current() *Table { return h.current.Load() }
 
+// First is closed once there is a table.
+func (h *Holder) First() <-chan struct{} { return h.first }
+
 // Adopt puts a published table in force if it is valid and newer than the held
 // one, and reports whether it did. An invalid table changes nothing.
 func (h *Holder) Adopt(r basillift.Routing) (bool, error) {
@@ -33,5 +37,8 @@
 		return false, err
 	}
 	h.current.Store(t)
+	if held == nil {
+		close(h.first)
+	}
 	return true, nil
 }
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -196,13 +196,19 @@
 
 // Replace implements blfollow.Sink.
 func (r *routed) Replace(now time.Time, all []basillift.Publication) {
-	endpoints := make([]basillift.Publication, 0, len(all))
+	var tables, endpoints []basillift.Publication
 	for _, p := range all {
-		if !r.adopt(p) {
+		if _, ok := p.Routing(); ok {
+			tables = append(tables, p)
+		} else {
 			endpoints = append(endpoints, p)
 		}
 	}
+	// Requests wait for the first table, and need targets then.
 	r.fleet.Replace(now, endpoints)
+	for _, p := range tables {
+		r.adopt(p)
+	}
 	r.courier.Changed(now)
 }
 
