--- a/basillift/blproxy/body.go
+++ b/basillift/blproxy/body.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"io"
 
-	"basillift.dev/basillift/blpool"
-
 	"github.com/rotisserie/eris"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift/blpool"
 )
 
 var errTruncatedRequest = eris.New("request body is shorter than announced")
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -7,12 +7,11 @@
 	"net"
 	"time"
 
-	"basillift.dev/basillift/blpool"
-
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blpool"
 )
 
 var errProtocolSwitch = eris.New("protocol switch without a request for it")
--- a/basillift/blproxy/proxy.go
+++ b/basillift/blproxy/proxy.go
@@ -13,10 +13,9 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
-	"basillift.dev/basillift/blpool"
-
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmit"
+	"basillift.dev/basillift/blpool"
 	"basillift.dev/basillift/blroute"
 )
 
