--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -149,13 +149,21 @@
 			return notRun(a.reason, s.retryAfter(j))
 		case blretry.FollowUnknown:
 			a.discard()
-			return unknown(http.StatusBadGateway, a.reason)
+			return unknown(unknownStatus(a), a.reason)
 		case blretry.FollowAgain:
 			a.discard()
 		}
 	}
 }
 
+// unknownStatus is 504 if the last attempt ended with its time, and 502 otherwise.
+func unknownStatus(a *answer) int {
+	if a.reason == basillift.ReasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
 func (s *callerSide) retryAfter(j *journey) time.Duration {
 	if j.soonest > 0 {
 		return j.soonest
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -110,6 +110,8 @@
 	c.callers.stop()
 	c.mesh.stop()
 	err := c.ready.Shutdown()
+	// A server that was not serving yet does not know its listener and would serve on.
+	_ = c.onReady.Close()
 	c.pools.Close()
 	c.tasks.Wait()
 	if err != nil {
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -129,6 +129,8 @@
 	defer done()
 	r.courier.Drain(draining)
 	err = errors.Join(err, r.admin.Stop())
+	// A server that was not serving yet does not know its listener and would serve on.
+	_ = admin.Close()
 	cancel()
 	r.tasks.Wait()
 	r.log.Event(bllog.Stopped()).Send()
