Remove unused fields; look through split routes only when the table has changed

Cause: each change of a target's entry built a map of all routes for the dealer, and an answer's instance and a course's arrivals were read by nobody. Found in the last read of the change. Behaviour is the same.

--- a/basillift/blcourier/answer.go
+++ b/basillift/blcourier/answer.go
@@ -38,8 +38,6 @@
 	seen uint64
 	// silent is set when nothing came back from the daemon beside the target.
 	silent bool
-	// instance is the target that answered or refused.
-	instance string
 }
 
 // stream is the rest of a large body.
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -63,7 +63,6 @@
 	h.caller = r.header(t.courier.settings.dialect.Caller())
 	a := t.admit(ctx, r, h)
 	a.load = t.courier.desk.load()
-	a.instance = h.instance
 	return a
 }
 
--- a/basillift/blretry/course.go
+++ b/basillift/blretry/course.go
@@ -68,9 +68,6 @@
 // Ran reports whether the request may have run in an attempt so far.
 func (c *Course) Ran() bool { return c.ran }
 
-// Arrivals counts the targets that may have seen the request.
-func (c *Course) Arrivals() int { return c.arrivals }
-
 // Next decides what follows an attempt. resend is false when the body cannot be
 // sent again; repeat takes a repeat from the allowance and is only asked if it matters.
 func (c *Course) Next(now time.Time, e Ending, resend bool, repeat func() bool) Follow {
--- a/basillift/bltable/dealer.go
+++ b/basillift/bltable/dealer.go
@@ -12,6 +12,8 @@
 	mutex sync.Mutex
 	rnd   *rand.Rand
 	decks map[string]*deck
+	// retained is the table of the last Retain, since the same one is told with each change of a target.
+	retained *Table
 }
 
 // deck is the state of one route: how much each share is owed, in units of weight.
@@ -47,6 +49,10 @@
 func (d *Dealer) Retain(t *Table) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if t == d.retained {
+		return
+	}
+	d.retained = t
 	split := make(map[string]bool)
 	for _, r := range t.Routing().Routes() {
 		split[r.Name()] = len(r.Shares()) > 1
