blfeed: daemons on thin links follow fast ones instead of the registry

Change: blfeed. Daemons on links of 50 Mbit/s or more keep what they read on a Shelf and answer others; the rest ask one of them (Readers decides which) for what changed, tables as deltas by route. Waits of 1 s, other readers and the registry when one is away, behind or silent. Source implements basillift.Registry, so blfollow decides the rest as before. Setting link.

--- a/basillift/blcourier/answer.go
+++ b/basillift/blcourier/answer.go
@@ -36,6 +36,8 @@
 	close bool
 	// seen is the newest revision of the registry that the target side has seen.
 	seen uint64
+	// feed is the state of an answer to a daemon that asks for a newer routing table.
+	feed string
 	// silent is set when nothing came back from the daemon beside the target.
 	silent bool
 }
@@ -140,6 +142,9 @@
 }
 
 func (a *answer) appendInternal(b []byte) []byte {
+	if a.feed != "" {
+		return appendField(b, headerFeed, a.feed)
+	}
 	b = appendField(b, headerHop, a.formatOutcome())
 	if a.load != nil {
 		b = appendField(b, headerLoad, formatLoad(*a.load))
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -51,12 +51,16 @@
 	trail     *trail
 	counters  *counters
 	news      basillift.Freshness
-	targets   *targetSide
-	callers   *server
-	mesh      *server
-	ready     *fasthttp.Server
-	onReady   net.Listener
-	stopping  atomic.Bool
+	feed      basillift.Feed
+	// feeding ends when a stop begins, with all answers to daemons that wait for a newer table.
+	feeding    context.Context
+	endFeeding context.CancelFunc
+	targets    *targetSide
+	callers    *server
+	mesh       *server
+	ready      *fasthttp.Server
+	onReady    net.Listener
+	stopping   atomic.Bool
 	// closing is set once a stop takes no new requests of other daemons.
 	closing atomic.Bool
 	leaving atomic.Int64
@@ -73,6 +77,7 @@
 		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), patience: bladmit.NewPatience(), trail: newTrail(log),
 	}
 	c.leaving.Store(int64(s.leaving))
+	c.feeding, c.endFeeding = context.WithCancel(context.Background())
 	c.counters = newCounters(c)
 	c.targets = &targetSide{courier: c}
 	c.callers = newServer(s.callers, &callerSide{courier: c})
@@ -85,6 +90,10 @@
 // other daemons. It must be called before Run.
 func (c *Courier) Follow(f basillift.Freshness) { c.news = f }
 
+// Feed tells the courier what answers daemons that ask for a newer routing table. It
+// must be called before Run.
+func (c *Courier) Feed(f basillift.Feed) { c.feed = f }
+
 // Listen opens all addresses.
 func (c *Courier) Listen() error {
 	if err := c.mesh.listen(); err != nil {
@@ -107,6 +116,7 @@
 	c.tasks.Go(func() { c.callers.loop(ctx) })
 	c.tasks.Go(func() { _ = c.ready.Serve(c.onReady) })
 	c.loop(ctx)
+	c.endFeeding()
 	c.callers.stop()
 	c.mesh.stop()
 	err := c.ready.Shutdown()
@@ -157,6 +167,7 @@
 // still send, and returns when nothing is left or ctx ends.
 func (c *Courier) Drain(ctx context.Context) {
 	c.stopping.Store(true)
+	c.endFeeding()
 	c.callers.drain(false)
 	c.mesh.drain(false)
 	begun := time.Now()
--- /dev/null
+++ b/basillift/blcourier/feed.go
@@ -0,0 +1,115 @@
+package blcourier
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"basillift.dev/basillift"
+)
+
+// headerFeed asks another daemon for what is new in the registry, and tells the state of its answer.
+const headerFeed = "Basillift-Feed"
+
+// feedTransfer is how long an answer may take beyond its wait: a whole table of 400 KB on a link of 5 Mbit/s.
+const feedTransfer = time.Second
+
+// feedWait bounds how long a daemon waits for news on behalf of another one.
+const feedWait = 30 * time.Second
+
+// feedBytes bounds what follows the first part of a table; the registry's own limit is 1 MB in base64.
+const feedBytes = 8 << 20
+
+var errFeed = eris.New("not an answer about the registry")
+
+// answerFeed answers another daemon that asks for news.
+func (t *targetSide) answerFeed(ctx context.Context, text string) *answer {
+	c := t.courier
+	ask, ok := parseFeedAsk(text)
+	if !ok || c.feed == nil {
+		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A stop does not wait for daemons that wait for changes.
+	defer context.AfterFunc(c.feeding, cancel)()
+	reply := c.feed.Answer(ctx, ask)
+	said := strings.Join(append([]string{string(reply.State()), strconv.FormatUint(reply.Revision(), 10)}, reply.Readers()...), " ")
+	return &answer{status: http.StatusOK, feed: said, body: reply.Body(), outcome: basillift.OutcomeDone}
+}
+
+// feedFields is the number of values in a question.
+const feedFields = 4
+
+func formatFeedAsk(a basillift.FeedAsk) string {
+	return strconv.FormatUint(a.Version(), 10) + " " + strconv.FormatUint(a.Known(), 10) + " " +
+		strconv.FormatUint(a.Seen(), 10) + " " + microseconds(a.Wait())
+}
+
+func parseFeedAsk(text string) (basillift.FeedAsk, bool) {
+	fields := strings.Fields(text)
+	if len(fields) != feedFields {
+		return basillift.FeedAsk{}, false
+	}
+	var numbers [feedFields]uint64
+	for i, f := range fields {
+		n, err := strconv.ParseUint(f, 10, 62)
+		if err != nil {
+			return basillift.FeedAsk{}, false
+		}
+		numbers[i] = n
+	}
+	wait := min(time.Duration(numbers[3])*time.Microsecond, feedWait)
+	return basillift.NewFeedAsk(numbers[0], wait).Since(numbers[1], numbers[2]), true
+}
+
+// AskFeed implements basillift.FeedPeers.
+func (c *Courier) AskFeed(ctx context.Context, daemon string, a basillift.FeedAsk) (basillift.FeedReply, error) {
+	now := time.Now()
+	head := "GET / HTTP/1.1\r\nHost: " + daemon + "\r\n" + headerFeed + ": " + formatFeedAsk(a) + "\r\n\r\n"
+	x := &exchange{
+		pool: c.pools.Of(daemon), request: &request{method: http.MethodGet}, head: []byte(head),
+		deadline: now.Add(a.Wait() + feedTransfer),
+	}
+	received, err := x.run(ctx, now)
+	if err != nil {
+		return basillift.FeedReply{}, fmt.Errorf("ask daemon %s: %w", daemon, err)
+	}
+	body, err := received.readAll()
+	if err != nil {
+		return basillift.FeedReply{}, fmt.Errorf("read table of daemon %s: %w", daemon, err)
+	}
+	return parseFeedReply(received.header(headerFeed), body)
+}
+
+func parseFeedReply(text string, body []byte) (basillift.FeedReply, error) {
+	fields := strings.Fields(text)
+	if len(fields) < 2 {
+		return basillift.FeedReply{}, fmt.Errorf("answer %q: %w", text, errFeed)
+	}
+	revision, err := strconv.ParseUint(fields[1], 10, 64)
+	if err != nil {
+		return basillift.FeedReply{}, fmt.Errorf("answer %q: %w: %w", text, errFeed, err)
+	}
+	return basillift.NewFeedReply(basillift.FeedState(fields[0]), revision).WithBody(body).WithReaders(fields[2:]), nil
+}
+
+// readAll reads the rest of a large answer.
+func (a *received) readAll() ([]byte, error) {
+	if a.rest == nil {
+		return a.body, nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(a.rest.source, feedBytes))
+	a.rest.finish(err == nil)
+	a.rest = nil
+	if err != nil {
+		return nil, fmt.Errorf("read rest of answer: %w", err)
+	}
+	return append(a.body, rest...), nil
+}
--- /dev/null
+++ b/basillift/blcourier/feed_test.go
@@ -0,0 +1,79 @@
+package blcourier
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+// largeBody is larger than what is taken into memory at once.
+var largeBody = strings.Repeat("t", wholeBytes+1000)
+
+// library has a large answer for daemons without a table, names readers to those with version 2, and lets others wait.
+type library struct{}
+
+// Answer implements basillift.Feed.
+func (library) Answer(ctx context.Context, a basillift.FeedAsk) basillift.FeedReply {
+	switch a.Version() {
+	case 0:
+		return basillift.NewFeedReply(basillift.FeedWhole, 77).WithBody([]byte(largeBody))
+	case 2:
+		return basillift.NewFeedReply(basillift.FeedFollower, 0).WithReaders([]string{"10.0.0.1:1", "10.0.0.2:1"})
+	}
+	<-ctx.Done()
+	return basillift.NewFeedReply(basillift.FeedBehind, 5)
+}
+
+func assertFeed(t *testing.T, r basillift.FeedReply, err error, s basillift.FeedState, revision uint64) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(r.State(), s)
+	is.Equal(r.Revision(), revision)
+}
+
+// Guards against tables that do not arrive whole, and a stop that waits for daemons which wait for changes.
+func TestFeed(t *testing.T) {
+	m := startMesh(t, startTarget(t, answerOK), startTarget(t, answerOK))
+	asking, asked := m.couriers[0], m.couriers[1]
+	address := asked.mesh.listener.Addr().String()
+	ctx := context.Background()
+	t.Run("large answer", func(t *testing.T) {
+		r, err := asking.AskFeed(ctx, address, basillift.NewFeedAsk(0, hangGuard))
+		assertFeed(t, r, err, basillift.FeedWhole, 77)
+		is.New(t).True(string(r.Body()) == largeBody)
+	})
+	t.Run("readers", func(t *testing.T) {
+		r, err := asking.AskFeed(ctx, address, basillift.NewFeedAsk(2, hangGuard))
+		assertFeed(t, r, err, basillift.FeedFollower, 0)
+		is.New(t).Equal(r.Readers(), []string{"10.0.0.1:1", "10.0.0.2:1"})
+	})
+	t.Run("the wait is given up", func(t *testing.T) {
+		soon, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		defer cancel()
+		_, err := asking.AskFeed(soon, address, basillift.NewFeedAsk(1, hangGuard))
+		is.New(t).True(err != nil)
+	})
+	t.Run("stop", func(t *testing.T) {
+		replies := make(chan basillift.FeedReply, 1)
+		go func() {
+			r, err := asking.AskFeed(ctx, address, basillift.NewFeedAsk(1, hangGuard))
+			if err == nil {
+				replies <- r
+			}
+			close(replies)
+		}()
+		for !asked.mesh.busy() {
+			time.Sleep(time.Millisecond)
+		}
+		draining, cancel := context.WithTimeout(ctx, hangGuard)
+		defer cancel()
+		asked.Drain(draining)
+		assertFeed(t, <-replies, draining.Err(), basillift.FeedBehind, 5)
+	})
+}
--- a/basillift/blcourier/mesh_test.go
+++ b/basillift/blcourier/mesh_test.go
@@ -166,6 +166,7 @@
 	s := NewSettings(free, free, free).WithTarget(target, "catalogue", "a").WithDialect(names).WithRepeats(1, 100)
 	c := New(s, m.tables, m.fleet, nil, rand.New(rand.NewSource(int64(i)+1)))
 	c.Follow(news{})
+	c.Feed(library{})
 	is.New(t).NoErr(c.Listen())
 	caller, peer := c.callers.listener.Addr().String(), c.mesh.listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -48,6 +48,9 @@
 
 // serve implements handler for requests of other daemons.
 func (t *targetSide) serve(ctx context.Context, r *request) *answer {
+	if text := r.header(headerFeed); text != "" {
+		return t.answerFeed(ctx, text)
+	}
 	h, ok := parseHop(r.header(headerHop), r.arrived)
 	if !ok {
 		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
--- /dev/null
+++ b/basillift/blfeed/readers.go
@@ -0,0 +1,162 @@
+package blfeed
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basillift.dev/basillift"
+)
+
+const (
+	// avoidFor is how long a reader that failed or was behind is not asked: an outage of one daemon lasts some seconds.
+	avoidFor = 2 * time.Second
+	// followerFor is how long a daemon counts as one that follows others; its link changes with a restart only.
+	followerFor = 30 * time.Second
+	// hints is how many readers an answer names at most.
+	hints = 3
+)
+
+type standing string
+
+const (
+	standingUnknown  standing = ""
+	standingReader   standing = "reader"
+	standingFollower standing = "follower"
+	standingAvoided  standing = "avoided"
+)
+
+// opinion is what is known of a daemon; it counts until a time.
+type opinion struct {
+	standing standing
+	reader   bool
+	until    time.Time
+}
+
+// Readers decides which daemon to ask for news: a known reader, one of the
+// own failure domain before others, and a daemon of which nothing is known if there
+// is none. Each follower prefers other readers, so that they share the followers. It
+// also implements basillift.Feed for a follower: it names the readers that it knows.
+// It is safe for concurrent use.
+type Readers struct {
+	own      string
+	mutex    sync.Mutex
+	opinions map[string]opinion
+}
+
+// NewReaders returns the decision for the daemon at an address.
+func NewReaders(own string) *Readers {
+	return &Readers{own: own, opinions: make(map[string]opinion)}
+}
+
+// Choose returns the address of the daemon to ask; false if there is none.
+func (r *Readers) Choose(now time.Time, neighbors []basillift.Neighbor) (string, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	best, found, bestRank := basillift.Neighbor{}, false, 0
+	for _, n := range neighbors {
+		rank := r.rank(now, n)
+		if rank == 0 || n.Address() == r.own {
+			continue
+		}
+		if !found || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(r.weight(n), r.weight(best))) > 0 {
+			best, found, bestRank = n, true, rank
+		}
+	}
+	return best.Address(), found
+}
+
+// rank orders daemons; 0 for one that is not asked.
+func (r *Readers) rank(now time.Time, n basillift.Neighbor) int {
+	switch s := r.standing(now, n.Address()); {
+	case s == standingReader && n.Near():
+		return 3
+	case s == standingReader:
+		return 2
+	case s == standingUnknown:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (r *Readers) standing(now time.Time, address string) standing {
+	o := r.opinions[address]
+	switch {
+	case o.standing == standingReader, now.Before(o.until):
+		return o.standing
+	case o.reader:
+		return standingReader
+	default:
+		return standingUnknown
+	}
+}
+
+// weight spreads the followers over the readers.
+func (r *Readers) weight(n basillift.Neighbor) uint64 {
+	return xxhash.Sum64String(r.own + " " + n.Address())
+}
+
+// Replied takes the state of a daemon's answer and the readers that it named.
+func (r *Readers) Replied(now time.Time, address string, reply basillift.FeedReply) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	switch reply.State() {
+	case basillift.FeedNews, basillift.FeedWhole, basillift.FeedUnchanged:
+		r.opinions[address] = opinion{standing: standingReader, reader: true}
+	case basillift.FeedFollower:
+		r.opinions[address] = opinion{standing: standingFollower, until: now.Add(followerFor)}
+	case basillift.FeedBehind:
+		r.opinions[address] = opinion{standing: standingAvoided, reader: true, until: now.Add(avoidFor)}
+	}
+	for _, named := range reply.Readers() {
+		if r.standing(now, named) == standingUnknown {
+			r.opinions[named] = opinion{standing: standingReader, reader: true}
+		}
+	}
+}
+
+// Failed notes that a daemon did not answer, or that others know a newer table.
+func (r *Readers) Failed(now time.Time, address string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.opinions[address] = opinion{standing: standingAvoided, reader: r.opinions[address].reader, until: now.Add(avoidFor)}
+}
+
+// Retain forgets daemons that are gone.
+func (r *Readers) Retain(neighbors []basillift.Neighbor) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	here := make(map[string]bool, len(neighbors))
+	for _, n := range neighbors {
+		here[n.Address()] = true
+	}
+	for address := range r.opinions {
+		if !here[address] {
+			delete(r.opinions, address)
+		}
+	}
+}
+
+// known are the readers to name to others, in the order of their addresses.
+func (r *Readers) known() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var all []string
+	for address, o := range r.opinions {
+		if o.standing == standingReader {
+			all = append(all, address)
+		}
+	}
+	slices.Sort(all)
+	return all[:min(len(all), hints)]
+}
+
+// Answer implements basillift.Feed.
+func (r *Readers) Answer(context.Context, basillift.FeedAsk) basillift.FeedReply {
+	return basillift.NewFeedReply(basillift.FeedFollower, 0).WithReaders(r.known())
+}
--- /dev/null
+++ b/basillift/blfeed/readers_test.go
@@ -0,0 +1,101 @@
+package blfeed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+)
+
+// neighbors returns daemons "d-0", "d-1" and so on; the first ones are near.
+func neighbors(count, near int) []basillift.Neighbor {
+	all := make([]basillift.Neighbor, count)
+	for i := range all {
+		all[i] = basillift.NewNeighbor(fmt.Sprintf("d-%d", i), i < near)
+	}
+	return all
+}
+
+func assertChoice(t *testing.T, r *Readers, now time.Time, all []basillift.Neighbor, want string) {
+	t.Helper()
+	got, found := r.Choose(now, all)
+	if got != want || found != (want != "") {
+		t.Errorf("asks %q, want %q", got, want)
+	}
+}
+
+func reply(s basillift.FeedState, readers ...string) basillift.FeedReply {
+	return basillift.NewFeedReply(s, 1).WithReaders(readers)
+}
+
+// Guards against a follower that asks daemons in vain although a reader is known.
+func TestChoose(t *testing.T) {
+	all := neighbors(3, 1)
+	r := NewReaders("own")
+	first, found := r.Choose(start, all)
+	is.New(t).True(found)
+	t.Run("a follower names readers", func(t *testing.T) {
+		r.Replied(start, first, reply(basillift.FeedFollower))
+		second, _ := r.Choose(start, all)
+		is.New(t).True(second != first)
+		r.Replied(start, second, reply(basillift.FeedFollower, "d-1"))
+		assertChoice(t, r, start, all, "d-1")
+		is.New(t).Equal(r.Answer(context.Background(), basillift.NewFeedAsk(1, 0)).Readers(), []string{"d-1"})
+	})
+	t.Run("a near reader goes first", func(t *testing.T) {
+		r.Replied(start, "d-0", reply(basillift.FeedUnchanged))
+		assertChoice(t, r, start, all, "d-0")
+	})
+	t.Run("a reader that is behind or silent is avoided for a while", func(t *testing.T) {
+		r.Replied(start, "d-0", reply(basillift.FeedBehind))
+		assertChoice(t, r, start, all, "d-1")
+		r.Failed(start, "d-1")
+		assertChoice(t, r, start.Add(avoidFor), all, "d-0")
+	})
+	t.Run("the daemon itself is not asked", func(t *testing.T) {
+		assertChoice(t, NewReaders("d-0"), start, neighbors(1, 1), "")
+	})
+}
+
+// Guards against asking for ever where all daemons follow others.
+func TestNoReader(t *testing.T) {
+	all := neighbors(4, 2)
+	r := NewReaders("own")
+	for range all {
+		address, found := r.Choose(start, all)
+		is.New(t).True(found)
+		r.Replied(start, address, reply(basillift.FeedFollower))
+	}
+	assertChoice(t, r, start, all, "")
+}
+
+// Guards against one reader that all others follow.
+func TestFollowersAreSpread(t *testing.T) {
+	all := neighbors(4, 4)
+	asked := map[string]int{}
+	for i := range 400 {
+		r := NewReaders(fmt.Sprintf("own-%d", i))
+		for _, n := range all {
+			r.Replied(start, n.Address(), reply(basillift.FeedUnchanged))
+		}
+		address, _ := r.Choose(start, all)
+		asked[address]++
+	}
+	for _, n := range all {
+		if c := asked[n.Address()]; c < 50 || c > 150 {
+			t.Errorf("%d of 400 followers ask %s, want about 100", c, n.Address())
+		}
+	}
+}
+
+// Guards against opinions on daemons that are long gone.
+func TestRetain(t *testing.T) {
+	r := NewReaders("own")
+	r.Replied(start, "gone", reply(basillift.FeedUnchanged))
+	r.Retain(neighbors(1, 0))
+	is.New(t).Equal(len(r.opinions), 0)
+}
--- /dev/null
+++ b/basillift/blfeed/shelf.go
@@ -0,0 +1,223 @@
+package blfeed
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bltable"
+)
+
+const (
+	// keptTables is how many tables a shelf holds: those of the time that a follower needs to ask again, at the
+	// pace at which a storm is read.
+	keptTables = 8
+	// keptChanges is how many changes of targets' entries a shelf holds: those of all targets of a large mesh at once.
+	keptChanges = 2048
+)
+
+// entry is the newest publication of a key, and when this daemon learned of it.
+type entry struct {
+	publication basillift.Publication
+	at          time.Time
+}
+
+// Shelf keeps what a daemon has read from the registry. It implements basillift.Feed and is safe for concurrent use.
+type Shelf struct {
+	mutex   sync.Mutex
+	tables  []*bltable.Table
+	table   basillift.Publication
+	entries map[string]entry
+	changes []entry
+	// complete is the revision after which all changes are there, known the one up to which all are held.
+	complete uint64
+	known    uint64
+	// seen is the newest revision of an entry.
+	seen uint64
+	away bool
+	// changed is closed and replaced when there is news.
+	changed chan struct{}
+	// messages holds what was encoded since the last news, by the question.
+	messages map[basillift.FeedAsk][]byte
+}
+
+// NewShelf returns an empty shelf, which counts as away.
+func NewShelf() *Shelf {
+	return &Shelf{
+		changed: make(chan struct{}), entries: make(map[string]entry), away: true,
+		messages: make(map[basillift.FeedAsk][]byte),
+	}
+}
+
+// Adopt adds the newest table, and what the registry says of its key.
+func (s *Shelf) Adopt(p basillift.Publication, t *bltable.Table) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tables = append(s.tables, t)
+	if len(s.tables) > keptTables {
+		s.tables = slices.Clone(s.tables[1:])
+	}
+	s.table = basillift.NewPublication(p.Key(), p.Revision())
+	s.see(p.Revision())
+	s.wake()
+}
+
+// Replace takes the entries of all targets at a revision.
+func (s *Shelf) Replace(now time.Time, revision uint64, all []basillift.Publication) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	clear(s.entries)
+	s.changes, s.away = nil, false
+	for _, p := range all {
+		s.entries[p.Key()] = entry{p, now}
+		s.see(p.Revision())
+	}
+	s.complete, s.known = revision, max(s.known, revision)
+	s.wake()
+}
+
+// Apply takes a change of a target's entry.
+func (s *Shelf) Apply(now time.Time, p basillift.Publication) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if p.Revision() <= s.entries[p.Key()].publication.Revision() {
+		return
+	}
+	s.entries[p.Key()] = entry{p, now}
+	if _, usable := p.Endpoint(); !usable {
+		delete(s.entries, p.Key())
+	}
+	s.changes = append(s.changes, entry{p, now})
+	if len(s.changes) > keptChanges {
+		s.complete = s.changes[0].publication.Revision()
+		s.changes = slices.Clone(s.changes[1:])
+	}
+	s.see(p.Revision())
+	s.wake()
+}
+
+func (s *Shelf) see(revision uint64) { s.seen, s.known = max(s.seen, revision), max(s.known, revision) }
+
+// SetAway tells whether the registry is away, so that there may be news that is not on the shelf.
+func (s *Shelf) SetAway(away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = away
+	s.wake()
+}
+
+func (s *Shelf) wake() {
+	clear(s.messages)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Answer implements basillift.Feed.
+func (s *Shelf) Answer(ctx context.Context, a basillift.FeedAsk) basillift.FeedReply {
+	timer := time.NewTimer(a.Wait())
+	defer timer.Stop()
+	for {
+		reply, changed := s.answer(time.Now(), a)
+		if reply.State() != basillift.FeedUnchanged {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return reply
+		case <-ctx.Done():
+			return basillift.NewFeedReply(basillift.FeedBehind, 0)
+		}
+	}
+}
+
+// answer is what can be said at once, and what tells of news.
+func (s *Shelf) answer(now time.Time, a basillift.FeedAsk) (basillift.FeedReply, <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	state := s.state(a)
+	reply := basillift.NewFeedReply(state, s.known)
+	if state != basillift.FeedNews && state != basillift.FeedWhole {
+		return reply, s.changed
+	}
+	body, err := s.message(now, a, state)
+	if err != nil {
+		// What cannot be encoded is of no help; the registry still has it.
+		return basillift.NewFeedReply(basillift.FeedBehind, s.known), s.changed
+	}
+	return reply.WithBody(body), s.changed
+}
+
+func (s *Shelf) state(a basillift.FeedAsk) basillift.FeedState {
+	switch {
+	case s.away || len(s.tables) == 0 || s.newest().Version() < a.Version() || s.seen < a.Seen():
+		return basillift.FeedBehind
+	case a.Known() < s.complete:
+		return basillift.FeedWhole
+	case a.Version() < s.newest().Version() || len(s.news(a, basillift.FeedNews)) > 0:
+		return basillift.FeedNews
+	default:
+		return basillift.FeedUnchanged
+	}
+}
+
+func (s *Shelf) newest() *bltable.Table { return s.tables[len(s.tables)-1] }
+
+// message encodes the answer to a question; many followers ask the same one.
+func (s *Shelf) message(now time.Time, a basillift.FeedAsk, state basillift.FeedState) ([]byte, error) {
+	question := basillift.NewFeedAsk(a.Version(), 0).Since(a.Known(), 0)
+	if body, known := s.messages[question]; known {
+		return body, nil
+	}
+	m := message{TableKey: s.table.Key(), TableRevision: s.table.Revision()}
+	var err error
+	if a.Version() < s.newest().Version() {
+		if m.Table, err = bltable.FormatDelta(s.held(a.Version()), s.newest().Routing()); err != nil {
+			return nil, fmt.Errorf("encode feed: %w", err)
+		}
+	}
+	for _, e := range s.news(a, state) {
+		m.Targets = append(m.Targets, newTarget(e.publication, now.Sub(e.at)))
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode feed: %w", err)
+	}
+	s.messages[question] = body
+	return body, nil
+}
+
+// news are all entries, or the changes since the follower's revision.
+func (s *Shelf) news(a basillift.FeedAsk, state basillift.FeedState) []entry {
+	var news []entry
+	if state == basillift.FeedWhole {
+		for _, e := range s.entries {
+			news = append(news, e)
+		}
+		slices.SortFunc(news, func(a, b entry) int { return cmp.Compare(a.publication.Key(), b.publication.Key()) })
+		return news
+	}
+	for _, e := range slices.Backward(s.changes) {
+		if e.publication.Revision() <= a.Known() {
+			break
+		}
+		news = append(news, e)
+	}
+	slices.Reverse(news)
+	return news
+}
+
+// held is the table of a version; nil if it is not on the shelf.
+func (s *Shelf) held(version uint64) *bltable.Table {
+	for _, t := range s.tables {
+		if t.Version() == version {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/basillift/blfeed/source_test.go
@@ -0,0 +1,138 @@
+package blfeed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bltable"
+)
+
+var errGone = eris.New("daemon is gone")
+
+// mesh is a registry and daemons with a shelf each; a daemon without one does not answer.
+type mesh struct {
+	shelves map[string]*Shelf
+	asked   []string
+	failing bool
+}
+
+func (m *mesh) AskFeed(ctx context.Context, daemon string, a basillift.FeedAsk) (basillift.FeedReply, error) {
+	m.asked = append(m.asked, daemon)
+	if s := m.shelves[daemon]; s != nil {
+		return s.Answer(ctx, a), nil
+	}
+	return basillift.FeedReply{}, errGone
+}
+
+func (m *mesh) List(context.Context, string) (basillift.Listing, error) {
+	m.asked = append(m.asked, "registry")
+	if m.failing {
+		return basillift.Listing{}, basillift.ErrUnavailable
+	}
+	return basillift.NewListing([]basillift.Publication{entryOf("x", 90)}, 95, ""), nil
+}
+
+func (m *mesh) Changes(ctx context.Context, _ uint64, _ time.Duration) (basillift.Listing, error) {
+	return m.List(ctx, "")
+}
+
+// follow returns the source of a daemon that holds table 1, with two neighbors of which the first is near.
+func (m *mesh) follow(t *testing.T) *Source {
+	t.Helper()
+	tables := bltable.NewHolder()
+	_, err := tables.Adopt(table(t, 1).Routing())
+	is.New(t).NoErr(err)
+	return NewSource(m, m, NewReaders("own"), tables, func() []basillift.Neighbor { return neighbors(2, 1) })
+}
+
+func assertListing(t *testing.T, l basillift.Listing, err error, revision uint64, keys ...string) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(l.Revision(), revision)
+	var got []string
+	for _, p := range l.Publications() {
+		got = append(got, p.Key())
+	}
+	is.Equal(got, keys)
+}
+
+// changedShelf is a shelf on which a target was removed at revision 21.
+func changedShelf(t *testing.T) *Shelf {
+	t.Helper()
+	s := newTestShelf(t)
+	s.Apply(start, removal("x", 21))
+	return s
+}
+
+// Guards against a daemon that stays behind when its readers are gone or behind themselves.
+func TestChanges(t *testing.T) {
+	ctx := context.Background()
+	t.Run("a reader has news", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-0": changedShelf(t), "d-1": changedShelf(t)}}
+		l, err := m.follow(t).Changes(ctx, 20, hangGuard)
+		assertListing(t, l, err, 21, "x")
+		is.New(t).Equal(len(m.asked), 1)
+	})
+	t.Run("one reader is gone", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-1": changedShelf(t)}}
+		l, err := m.follow(t).Changes(ctx, 20, hangGuard)
+		assertListing(t, l, err, 21, "x")
+	})
+	t.Run("one reader is away", func(t *testing.T) {
+		away := newTestShelf(t)
+		away.SetAway(true)
+		m := &mesh{shelves: map[string]*Shelf{"d-0": away, "d-1": changedShelf(t)}}
+		l, err := m.follow(t).Changes(ctx, 20, hangGuard)
+		assertListing(t, l, err, 21, "x")
+	})
+	t.Run("one reader missed what another one told", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-0": changedShelf(t)}}
+		s := m.follow(t)
+		l, err := s.Changes(ctx, 20, hangGuard)
+		assertListing(t, l, err, 21, "x")
+		m.shelves = map[string]*Shelf{"d-0": newTestShelf(t), "d-1": changedShelf(t)}
+		l, err = s.Changes(ctx, 21, 0)
+		assertListing(t, l, err, 21)
+	})
+	t.Run("a reader lacks older changes", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-0": changedShelf(t), "d-1": changedShelf(t)}}
+		_, err := m.follow(t).Changes(ctx, 5, hangGuard)
+		is.New(t).True(errors.Is(err, basillift.ErrCompacted))
+	})
+	t.Run("no reader is left", func(t *testing.T) {
+		m := &mesh{}
+		l, err := m.follow(t).Changes(ctx, 20, hangGuard)
+		assertListing(t, l, err, 95, "x")
+		is.New(t).Equal(len(m.asked), 3)
+	})
+}
+
+// Guards against a daemon that knows nothing although another one does, and against a list that counts as older than
+// what is held.
+func TestList(t *testing.T) {
+	ctx := context.Background()
+	t.Run("a reader is asked first", func(t *testing.T) {
+		m := &mesh{failing: true, shelves: map[string]*Shelf{"d-1": newTestShelf(t)}}
+		l, err := m.follow(t).List(ctx, "")
+		assertListing(t, l, err, 20, "x", "y")
+	})
+	t.Run("the reader's revision is older, its entries are not", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-0": newTestShelf(t)}}
+		s := m.follow(t)
+		s.known.Store(33)
+		l, err := s.List(ctx, "")
+		assertListing(t, l, err, 33, "x", "y")
+	})
+	t.Run("later pages come from the registry", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-0": newTestShelf(t)}}
+		l, err := m.follow(t).List(ctx, "w")
+		assertListing(t, l, err, 95, "x")
+	})
+}
--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -55,6 +55,8 @@
 	services  map[string][]*Target
 	byAddress map[string]*record
 	machines  int
+	// daemons holds the failure domain of each daemon beside a target by its address.
+	daemons map[string]basillift.FailureDomain
 }
 
 // Fleet holds the entries of all targets. It is safe for concurrent use.
@@ -79,6 +81,16 @@
 // Machines is the number of addresses at which targets have entries; 1 at least.
 func (f *Fleet) Machines() int { return max(1, f.current.Load().machines) }
 
+// Neighbors are the daemons beside all targets, as seen from a failure domain.
+func (f *Fleet) Neighbors(own basillift.FailureDomain) []basillift.Neighbor {
+	daemons := f.current.Load().daemons
+	neighbors := make([]basillift.Neighbor, 0, len(daemons))
+	for address, domain := range daemons {
+		neighbors = append(neighbors, basillift.NewNeighbor(address, domain == own))
+	}
+	return neighbors
+}
+
 // At returns the newest entry of an address, and since when it is leaving or gone; zero while it is not.
 func (f *Fleet) At(address string) (basillift.Endpoint, time.Time, bool) {
 	r := f.current.Load().byAddress[address]
@@ -207,7 +219,7 @@
 
 // publish makes a new view for readers.
 func (f *Fleet) publish() {
-	v := &view{services: make(map[string][]*Target), byAddress: make(map[string]*record, len(f.records))}
+	v := &view{services: make(map[string][]*Target), byAddress: make(map[string]*record, len(f.records)), daemons: make(map[string]basillift.FailureDomain)}
 	for _, r := range f.records {
 		address := r.target.endpoint.Address()
 		if o := v.byAddress[address]; o == nil || r.newerThan(o) {
@@ -220,6 +232,9 @@
 		}
 		v.machines++
 		e := r.target.endpoint
+		if e.Daemon() != "" {
+			v.daemons[e.Daemon()] = e.Domain()
+		}
 		if e.State().Willing() {
 			v.services[e.Service()] = append(v.services[e.Service()], r.target)
 		}
--- a/basillift/blfollow/follower.go
+++ b/basillift/blfollow/follower.go
@@ -18,8 +18,8 @@
 
 // Sink takes what the registry publishes.
 type Sink interface {
-	// Replace takes everything that the registry holds.
-	Replace(now time.Time, all []basillift.Publication)
+	// Replace takes everything that the registry held at a revision.
+	Replace(now time.Time, revision uint64, all []basillift.Publication)
 	// Apply takes one change.
 	Apply(now time.Time, p basillift.Publication)
 	// Lost tells that the registry does not answer any more.
@@ -132,11 +132,11 @@
 	now := time.Now()
 	f.mutex.Lock()
 	all, complete, returned := f.state.Listed(now, l)
-	cut := f.state.Cut()
+	cut, revision := f.state.Cut(), f.state.revision
 	f.mutex.Unlock()
 	f.greet(now, returned, cut)
 	if complete {
-		f.sink.Replace(now, all)
+		f.sink.Replace(now, revision, all)
 	}
 	return nil
 }
--- a/basillift/blfollow/state.go
+++ b/basillift/blfollow/state.go
@@ -15,6 +15,8 @@
 	changeWait = 3 * time.Second
 	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
 	changePause = 400 * time.Millisecond
+	// relayPause is the same for answers of other daemons, which have waited for the registry already.
+	relayPause = 100 * time.Millisecond
 	// transferShare bounds the use of a thin link by changes: the pause is so many times as long as the answer
 	// was on its way, up to transferPause, which leaves time for the next answer.
 	transferShare = 3
@@ -139,6 +141,9 @@
 	if len(l.Publications()) > 0 {
 		s.changed = now
 		s.rest = max(changePause, min(transferPause, transferShare*l.Transfer()))
+		if l.Relayed() {
+			s.rest = relayPause
+		}
 	}
 	return returned
 }
--- a/basillift/blsettings/file_gen.go
+++ b/basillift/blsettings/file_gen.go
@@ -40,6 +40,10 @@
 	// Lowest level that is logged.
 	Level FileLevel `json:"level,omitempty,omitzero"`
 
+	// Speed of the VM's link in Mbit/s; 0 if it is fast or not known. Daemons on
+	// links below 50 Mbit/s ask other daemons for newer routing tables.
+	Link float64 `json:"link,omitempty,omitzero"`
+
 	// Longest deadline in ms that a caller may ask for.
 	Longest int `json:"longest,omitempty,omitzero"`
 
--- a/basillift/blsettings/load.go
+++ b/basillift/blsettings/load.go
@@ -224,5 +224,6 @@
 		grace:       grace,
 		repeats:     f.Repeats,
 		allowance:   f.Allowance,
+		link:        f.Link,
 	}
 }
--- a/basillift/blsettings/settings.go
+++ b/basillift/blsettings/settings.go
@@ -51,6 +51,7 @@
 	grace       time.Duration
 	repeats     float64
 	allowance   int
+	link        float64
 }
 
 // Name is the VM's name.
@@ -125,6 +126,9 @@
 // Allowance is how many requests all daemons may send again beyond that share in a window.
 func (s Settings) Allowance() int { return s.allowance }
 
+// Link is the speed of the VM's link in Mbit/s; 0 if it is fast or not known.
+func (s Settings) Link() float64 { return s.link }
+
 // Member returns the daemon's first member record.
 func (s Settings) Member(now time.Time) basillift.Member {
 	return basillift.NewMember(s.name, uint64(now.UnixMilli()), s.addresses, s.place, s.service, s.slots)
--- a/basillift/bltable/file.go
+++ b/basillift/bltable/file.go
@@ -76,17 +76,11 @@
 func (f File) routing() (basillift.Routing, error) {
 	routes := make([]basillift.Route, 0, len(f.Routes))
 	for _, r := range f.Routes {
-		timeout, errTimeout := parseTime("timeout", r.Timeout)
-		goal, errGoal := parseTime("goal", r.Goal)
-		if err := errors.Join(errTimeout, errGoal); err != nil {
-			return basillift.Routing{}, fmt.Errorf("route %q: %w", r.Name, err)
+		route, err := r.route()
+		if err != nil {
+			return basillift.Routing{}, err
 		}
-		shares := make([]basillift.Share, 0, len(r.To))
-		for _, s := range r.To {
-			shares = append(shares, basillift.NewShare(s.Service, s.Weight))
-		}
-		routes = append(routes, basillift.NewRoute(r.Name, r.Host, r.Prefix, basillift.RequestKind(r.Kind), shares...).
-			WithTimes(timeout, goal).WithPriority(r.Priority).WithAttempts(r.Attempts))
+		routes = append(routes, route)
 	}
 	services := make([]basillift.ServiceLimits, 0, len(f.Services))
 	for _, s := range f.Services {
@@ -101,6 +95,20 @@
 		basillift.NewClientLimits(f.Limits.Header, f.Limits.Body, header, idle)), nil
 }
 
+func (r FileRoute) route() (basillift.Route, error) {
+	timeout, errTimeout := parseTime("timeout", r.Timeout)
+	goal, errGoal := parseTime("goal", r.Goal)
+	if err := errors.Join(errTimeout, errGoal); err != nil {
+		return basillift.Route{}, fmt.Errorf("route %q: %w", r.Name, err)
+	}
+	shares := make([]basillift.Share, 0, len(r.To))
+	for _, s := range r.To {
+		shares = append(shares, basillift.NewShare(s.Service, s.Weight))
+	}
+	return basillift.NewRoute(r.Name, r.Host, r.Prefix, basillift.RequestKind(r.Kind), shares...).
+		WithTimes(timeout, goal).WithPriority(r.Priority).WithAttempts(r.Attempts), nil
+}
+
 func parseTime(field, text string) (time.Duration, error) {
 	if text == "" {
 		return 0, nil
@@ -114,6 +122,19 @@
 
 // Format writes a table in the form that Parse reads.
 func Format(r basillift.Routing) ([]byte, error) {
+	f := newFile(r)
+	for _, each := range r.Routes() {
+		f.Routes = append(f.Routes, newFileRoute(each))
+	}
+	data, err := json.MarshalIndent(f, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode table: %w", err)
+	}
+	return data, nil
+}
+
+// newFile returns the file form of a table without its routes.
+func newFile(r basillift.Routing) File {
 	f := File{Version: r.Version(), Limits: FileLimits{
 		Header: r.Limits().HeaderBytes(), Body: r.Limits().BodyBytes(),
 		HeaderTimeout: formatTime(r.Limits().HeaderTimeout()), IdleTimeout: formatTime(r.Limits().IdleTimeout()),
@@ -121,21 +142,18 @@
 	for _, s := range r.Services() {
 		f.Services = append(f.Services, FileService{Name: s.Name(), Health: s.HealthPath(), Connections: s.Connections()})
 	}
-	for _, each := range r.Routes() {
-		route := FileRoute{
-			Name: each.Name(), Host: each.Host(), Prefix: each.Prefix(), Kind: string(each.Kind()), Priority: each.Priority(),
-			Attempts: each.Attempts(), Timeout: formatTime(each.Timeout()), Goal: formatTime(each.Goal()),
-		}
-		for _, s := range each.Shares() {
-			route.To = append(route.To, FileShare{Service: s.Service(), Weight: s.Weight()})
-		}
-		f.Routes = append(f.Routes, route)
+	return f
+}
+
+func newFileRoute(r basillift.Route) FileRoute {
+	f := FileRoute{
+		Name: r.Name(), Host: r.Host(), Prefix: r.Prefix(), Kind: string(r.Kind()), Priority: r.Priority(),
+		Attempts: r.Attempts(), Timeout: formatTime(r.Timeout()), Goal: formatTime(r.Goal()),
 	}
-	data, err := json.MarshalIndent(f, "", "  ")
-	if err != nil {
-		return nil, fmt.Errorf("encode table: %w", err)
+	for _, s := range r.Shares() {
+		f.To = append(f.To, FileShare{Service: s.Service(), Weight: s.Weight()})
 	}
-	return data, nil
+	return f
 }
 
 func formatTime(d time.Duration) string {
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -69,6 +69,7 @@
 	revision     uint64
 	next         string
 	transfer     time.Duration
+	relayed      bool
 }
 
 // NewListing returns an answer that is current as of a revision. next is the key
@@ -86,6 +87,15 @@
 // Transfer is how long the answer was on its way.
 func (l Listing) Transfer() time.Duration { return l.transfer }
 
+// WithRelayed marks an answer that another daemon gave, which costs the registry nothing.
+func (l Listing) WithRelayed() Listing {
+	l.relayed = true
+	return l
+}
+
+// Relayed reports whether another daemon gave the answer.
+func (l Listing) Relayed() bool { return l.relayed }
+
 // Publications are the entries or changes of the answer, in the registry's order.
 func (l Listing) Publications() []Publication { return l.publications }
 
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -20,6 +20,7 @@
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmin"
 	"basillift.dev/basillift/blcourier"
+	"basillift.dev/basillift/blfeed"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/blfollow"
 	"basillift.dev/basillift/bllog"
@@ -34,6 +35,10 @@
 // settingsEvery is how often the settings file is looked at; it may change without a signal.
 const settingsEvery = 5 * time.Second
 
+// fastLink is the speed of a link, in Mbit/s, from which a daemon reads the registry for others too: a table of
+// 400 KB takes 64 ms of it.
+const fastLink = 50
+
 // collectAt is the growth of the heap, in percent, at which garbage is collected. The heap of a daemon is small, so
 // that more frequent collections cost little and keep its memory down.
 const collectAt = 40
@@ -46,10 +51,12 @@
 	tables   *bltable.Holder
 	fleet    *blfleet.Fleet
 	courier  *blcourier.Courier
-	registry basillift.Registry
-	admin    *bladmin.Server
-	tasks    sync.WaitGroup
-	failed   chan error
+	follower *blfollow.Follower
+	// shelf is nil for a daemon that follows others.
+	shelf  *blfeed.Shelf
+	admin  *bladmin.Server
+	tasks  sync.WaitGroup
+	failed chan error
 }
 
 // buildRouted makes all parts of the daemon that routes by table.
@@ -91,16 +98,31 @@
 }
 
 func newRouted(s blsettings.Settings, l *bllog.Logger, tables *bltable.Holder, fleet *blfleet.Fleet,
-	courier *blcourier.Courier, registry basillift.Registry,
+	courier *blcourier.Courier, registry basillift.Registry, rnd *rand.Rand,
 ) *routed {
 	r := &routed{
-		settings: s, log: l, tables: tables, fleet: fleet, courier: courier, registry: registry,
-		failed: make(chan error, 3),
+		settings: s, log: l, tables: tables, fleet: fleet, courier: courier, failed: make(chan error, 3),
 	}
+	r.feed(registry, rand.New(rand.NewSource(rnd.Int63())))
 	r.admin = bladmin.NewTableServer(r)
 	return r
 }
 
+// feed decides whether the daemon reads the registry, also for others, or follows other daemons.
+func (r *routed) feed(registry basillift.Registry, rnd *rand.Rand) {
+	if link := r.settings.Link(); link == 0 || link >= fastLink {
+		r.shelf = blfeed.NewShelf()
+		r.courier.Feed(r.shelf)
+	} else {
+		readers := blfeed.NewReaders(r.settings.Addresses().Mesh())
+		neighbors := func() []basillift.Neighbor { return r.fleet.Neighbors(r.settings.Place().FailureDomain()) }
+		registry = blfeed.NewSource(registry, r.courier, readers, r.tables, neighbors)
+		r.courier.Feed(readers)
+	}
+	r.follower = blfollow.New(registry, r, rnd)
+	r.courier.Follow(r.follower)
+}
+
 // run serves until ctx ends or a part fails, and then stops in order.
 func (r *routed) run(ctx context.Context) error {
 	debug.SetGCPercent(collectAt)
@@ -113,10 +135,8 @@
 	}
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	follower := blfollow.New(r.registry, r, rand.New(rand.NewSource(time.Now().UnixNano())))
-	r.courier.Follow(follower)
 	r.start(func() error { return r.courier.Run(serving) })
-	r.start(func() error { return follower.Run(serving) })
+	r.start(func() error { return r.follower.Run(serving) })
 	r.log.Event(bllog.Started()).Str("domain", string(r.settings.Place().FailureDomain())).Send()
 	r.start(func() error { return r.admin.Run(admin) })
 	r.start(func() error { r.loop(serving); return nil })
@@ -197,7 +217,7 @@
 }
 
 // Replace implements blfollow.Sink.
-func (r *routed) Replace(now time.Time, all []basillift.Publication) {
+func (r *routed) Replace(now time.Time, revision uint64, all []basillift.Publication) {
 	var tables, endpoints []basillift.Publication
 	for _, p := range all {
 		if _, ok := p.Routing(); ok {
@@ -211,6 +231,9 @@
 	for _, p := range tables {
 		r.adopt(p)
 	}
+	if r.shelf != nil {
+		r.shelf.Replace(now, revision, endpoints)
+	}
 	r.courier.Changed(now)
 }
 
@@ -219,6 +242,9 @@
 	if !r.adopt(p) {
 		taken := r.fleet.Apply(now, p)
 		r.logTarget(p, taken)
+		if r.shelf != nil {
+			r.shelf.Apply(now, p)
+		}
 	}
 	r.courier.Changed(now)
 }
@@ -247,6 +273,9 @@
 	case err != nil:
 		r.log.Event(bllog.VersionRefused()).Uint64("version", table.Version()).Err(err).Send()
 	case adopted:
+		if r.shelf != nil {
+			r.shelf.Adopt(p, r.tables.Current())
+		}
 		r.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).Send()
 	}
 	return true
@@ -254,6 +283,9 @@
 
 // Lost implements blfollow.Sink.
 func (r *routed) Lost(_ time.Time, err error) {
+	if r.shelf != nil {
+		r.shelf.SetAway(true)
+	}
 	r.log.Event(bllog.PlatformFailed()).Err(err).Send()
 }
 
@@ -262,5 +294,8 @@
 	if !cut {
 		r.fleet.Returned(now)
 	}
+	if r.shelf != nil {
+		r.shelf.SetAway(false)
+	}
 	r.log.Event(bllog.PlatformReturned()).Bool("cut", cut).Send()
 }
