blcourier, blplace: large bodies come over a thin link one after the other

Requests to gallery needed 34 to 58 ms to get there, 330 to 370 ms for one in ten, those to other services 2 ms (a trial that logged each step). Calls to gallery failed with their deadlines, and so skin-reserve with 500; connections took more than 150 ms. Change: for a body of 16 KB or more to a VM whose load reports name a thin link, the caller's daemon first asks for a permit. Permits are a GoalQueue of one slot: by rank and goal, refused at once with a Retry-After if the goal cannot be kept. Nothing was sent then, so any kind may go to another target. Reports tell the backlog, and the placer adds it for large bodies. VMs with fast links are not asked. The wire test fails without the permit.

--- a/basillift/bladmit/goalqueue.go
+++ b/basillift/bladmit/goalqueue.go
@@ -146,6 +146,17 @@
 	return q.dispatch(now)
 }
 
+// Hold is how long an offer will hold a slot at most, as a rule.
+func (q *GoalQueue) Hold(o Offer) time.Duration { return seconds(q.hold(o)) }
+
+// Backlog is the wait of an offer that arrives now, behind all others.
+func (q *GoalQueue) Backlog() time.Duration {
+	if len(q.running) < q.slots {
+		return 0
+	}
+	return q.RetryAfter()
+}
+
 // Close refuses all later offers for a reason; an empty reason opens the queue again.
 func (q *GoalQueue) Close(r basillift.Reason) { q.closed = r }
 
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -246,18 +246,18 @@
 		a := c.targets.run(ctx, s.local(j.request), j.hop)
 		return a, ending(a)
 	}
+	if s.needsPermit(j, t) {
+		if a, e, sure := s.permitted(ctx, j, t); !sure {
+			return a, e
+		}
+	}
 	now := time.Now()
 	x := &exchange{
 		pool: c.pools.Of(t.Endpoint().Daemon()), request: j.request, head: s.head(j, now), deadline: j.hop.deadline,
 	}
 	received, err := x.run(ctx, now)
 	if err != nil {
-		a, e := unknown(http.StatusBadGateway, basillift.ReasonConnectFailed), blretry.EndingBroken
-		if x.unreachable {
-			a, e = notRun(basillift.ReasonConnectFailed, 0), blretry.EndingUnreachable
-		}
-		a.silent = silentError(err)
-		return a, e
+		return lost(err, x.unreachable)
 	}
 	a := &received.answer
 	a.readInternal()
@@ -265,6 +265,39 @@
 	return a, ending(a)
 }
 
+// lost is the ending of an attempt without an answer. Unsent tells that no byte of the request was sent.
+func lost(err error, unsent bool) (*answer, blretry.Ending) {
+	a, e := unknown(http.StatusBadGateway, basillift.ReasonConnectFailed), blretry.EndingBroken
+	if unsent {
+		a, e = notRun(basillift.ReasonConnectFailed, 0), blretry.EndingUnreachable
+	}
+	a.silent = silentError(err)
+	return a, e
+}
+
+// needsPermit reports whether a request has a large body for a VM with a thin link.
+func (s *callerSide) needsPermit(j *journey, t *blfleet.Target) bool {
+	if j.request.whole() && len(j.request.body) < permitBytes {
+		return false
+	}
+	return s.courier.placer.ThinLink(t.Endpoint().Instance())
+}
+
+// permitted asks whether the body may come to a target, and returns the ending of the attempt if not.
+func (s *callerSide) permitted(ctx context.Context, j *journey, t *blfleet.Target) (*answer, blretry.Ending, bool) {
+	refusal, err := s.askPermit(ctx, j, t.Endpoint().Daemon())
+	if err != nil {
+		// The request itself was not sent.
+		a, e := lost(err, true)
+		return a, e, false
+	}
+	if refusal != nil {
+		s.courier.news.Hear(refusal.seen)
+		return refusal, ending(refusal), false
+	}
+	return nil, "", true
+}
+
 // silentError reports whether an error means that nothing came back, rather than a refusal or a reset.
 func silentError(err error) bool {
 	var timeout net.Error
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -46,12 +46,14 @@
 	allowance *blretry.Allowance
 	pools     *blpool.Set
 	desk      *desk
-	sizes     *sizes
-	patience  *bladmit.Patience
-	trail     *trail
-	counters  *counters
-	news      basillift.Freshness
-	feed      basillift.Feed
+	// link is nil unless the VM's link is thin.
+	link     *link
+	sizes    *sizes
+	patience *bladmit.Patience
+	trail    *trail
+	counters *counters
+	news     basillift.Freshness
+	feed     basillift.Feed
 	// feeding ends when a stop begins, with all answers to daemons that wait for a newer table.
 	feeding    context.Context
 	endFeeding context.CancelFunc
@@ -78,6 +80,9 @@
 	}
 	c.leaving.Store(int64(s.leaving))
 	c.feeding, c.endFeeding = context.WithCancel(context.Background())
+	if s.thin {
+		c.link = newLink()
+	}
 	c.counters = newCounters(c)
 	c.targets = &targetSide{courier: c}
 	c.callers = newServer(s.callers, &callerSide{courier: c})
--- a/basillift/blcourier/desk.go
+++ b/basillift/blcourier/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"basillift.dev/basillift"
@@ -16,13 +15,10 @@
 // downPause is how long requests are refused after the target refused a connection.
 const downPause = 100 * time.Millisecond
 
-// desk is the goal queue of the VM's own target, for the goroutines that wait in it.
+// desk is the goal queue of the VM's own target.
 type desk struct {
-	mutex     sync.Mutex
-	queue     *bladmit.GoalQueue
+	gate
 	origins   *bladmit.Origins
-	waiting   map[uint64]chan struct{}
-	next      uint64
 	downUntil time.Time
 	// absent is the instance that the target was asked for last and is not.
 	absent      string
@@ -30,84 +26,37 @@
 }
 
 func newDesk() *desk {
-	return &desk{queue: bladmit.NewGoalQueue(defaultSlots), origins: bladmit.NewOrigins(), waiting: make(map[uint64]chan struct{})}
+	return &desk{gate: newGate(defaultSlots), origins: bladmit.NewOrigins()}
 }
 
 // enter waits for a slot. It returns the id of the slot, or why the request did not get one.
 func (d *desk) enter(ctx context.Context, now time.Time, h hop) (id uint64, refusal *answer) {
-	id, decision, started := d.arrive(now, h)
-	switch decision.Verdict() {
-	case bladmit.VerdictRun:
-		return id, nil
-	case bladmit.VerdictRefuse:
-		return 0, notRun(decision.Reason(), decision.RetryAfter())
-	}
-	timer := time.NewTimer(decision.Until().Sub(now))
-	defer timer.Stop()
-	select {
-	case <-started:
-		return id, nil
-	case <-timer.C:
-		if d.withdraw(id) {
-			return 0, notRun(basillift.ReasonOverload, d.retryAfter())
-		}
-	case <-ctx.Done():
-		if d.withdraw(id) {
-			return 0, notRun(basillift.ReasonCallerGone, 0)
-		}
-	}
-	// The slot was given while the wait ended.
-	return id, nil
+	return d.gate.enter(ctx, now, d.arrive(now, h))
 }
 
-func (d *desk) arrive(now time.Time, h hop) (uint64, bladmit.Decision, chan struct{}) {
+// arrive is what to ask the queue for a request.
+func (d *desk) arrive(now time.Time, h hop) func(id uint64) bladmit.Offer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if !d.downUntil.IsZero() && !now.Before(d.downUntil) {
 		d.downUntil = time.Time{}
 		d.queue.Close(basillift.ReasonNone)
 	}
-	d.next++
-	id := d.next
 	d.origins.Observe(h.lane, h.caller)
-	o := bladmit.NewOffer(id, h.lane, h.rank, h.goal, h.deadline).WithObjective(h.objective).WithNested(d.origins.Nested(h.lane))
-	decision := d.queue.Arrive(now, o)
-	if decision.Verdict() != bladmit.VerdictWait {
-		return id, decision, nil
-	}
-	started := make(chan struct{})
-	d.waiting[id] = started
-	return id, decision, started
+	nested := d.origins.Nested(h.lane)
+	return func(id uint64) bladmit.Offer { return h.offer(id).WithNested(nested) }
 }
 
-// leave frees a slot. Observed is false if the request did not run to its end.
-func (d *desk) leave(now time.Time, id uint64, observed bool) {
+// lasts is for how long a request will hold a slot at most, as a rule.
+func (d *desk) lasts(h hop) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.wake(d.queue.Finish(now, id, observed))
+	return d.queue.Hold(h.offer(0))
 }
 
-func (d *desk) wake(started []uint64) {
-	for _, id := range started {
-		close(d.waiting[id])
-		delete(d.waiting, id)
-	}
-}
-
-func (d *desk) withdraw(id uint64) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if !d.queue.Withdraw(id) {
-		return false
-	}
-	delete(d.waiting, id)
-	return true
-}
-
-func (d *desk) retryAfter() time.Duration {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.queue.RetryAfter()
+// offer is a request as the queue sees it.
+func (h hop) offer(id uint64) bladmit.Offer {
+	return bladmit.NewOffer(id, h.lane, h.rank, h.goal, h.deadline).WithObjective(h.objective)
 }
 
 // down refuses requests for a moment: the target takes no connections.
@@ -138,10 +87,3 @@
 	defer d.mutex.Unlock()
 	d.wake(d.queue.SetSlots(now, slots))
 }
-
-func (d *desk) load() *basillift.Load {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	l := d.queue.Load()
-	return &l
-}
--- a/basillift/blcourier/headers.go
+++ b/basillift/blcourier/headers.go
@@ -15,6 +15,8 @@
 	headerHop = "Basillift-Hop"
 	// headerLoad tells the target's load.
 	headerLoad = "Basillift-Load"
+	// headerPermit marks a request that only asks whether a large body may come.
+	headerPermit = "Basillift-Permit"
 )
 
 // connectionHeaders concern one connection only and are never passed on.
@@ -89,18 +91,25 @@
 	a.seen, _ = strconv.ParseUint(fields[3], 10, 64)
 }
 
+// loadFields is the number of values in a load header; that of a VM with a thin link has one more.
+const loadFields = 4
+
 func formatLoad(l basillift.Load) string {
-	return strconv.Itoa(l.Running()) + " " + strconv.Itoa(l.Queued()) + " " + strconv.Itoa(l.Slots()) + " " +
+	text := strconv.Itoa(l.Running()) + " " + strconv.Itoa(l.Queued()) + " " + strconv.Itoa(l.Slots()) + " " +
 		microseconds(l.Hold())
+	if backlog, thin := l.ThinLink(); thin {
+		text += " " + microseconds(backlog)
+	}
+	return text
 }
 
 // parseLoad returns nil for a text that is no load.
 func parseLoad(text string) *basillift.Load {
 	fields := strings.Fields(text)
-	if len(fields) != 4 {
+	if len(fields) != loadFields && len(fields) != loadFields+1 {
 		return nil
 	}
-	var numbers [4]int
+	var numbers [loadFields + 1]int
 	for i, f := range fields {
 		n, err := strconv.Atoi(f)
 		if err != nil {
@@ -109,6 +118,9 @@
 		numbers[i] = n
 	}
 	l := basillift.NewLoad(numbers[0], numbers[1], numbers[2], time.Duration(numbers[3])*time.Microsecond)
+	if len(fields) > loadFields {
+		l = l.WithThinLink(time.Duration(numbers[loadFields]) * time.Microsecond)
+	}
 	return &l
 }
 
--- /dev/null
+++ b/basillift/blcourier/link.go
@@ -0,0 +1,125 @@
+package blcourier
+
+import (
+	"context"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmit"
+)
+
+const (
+	// permitBytes is the size from which a body asks for the way to a VM with a thin link: 26 ms of 5 Mbit/s.
+	permitBytes = 16 << 10
+	// transfersAtOnce is how many large bodies come over a thin link at a time. A sender's link is seldom faster,
+	// so one fills it, and a second one would only be in the way of small requests.
+	transfersAtOnce = 1
+	// transferMost is how long a permitted body may be on its way before the next one is permitted: a body of
+	// 512 KB on a link of 5 Mbit/s takes 0.8 s.
+	transferMost = 1500 * time.Millisecond
+)
+
+// link lets large bodies come over the VM's thin link one after the other. Without that, some of them at the
+// same time hold up all other requests for longer than those take.
+type link struct {
+	gate
+	// transfers holds the permits by the id of the request.
+	transfers map[string]transfer
+}
+
+// transfer is a permitted body on its way.
+type transfer struct {
+	slot   uint64
+	expiry *time.Timer
+}
+
+func newLink() *link {
+	return &link{gate: newGate(transfersAtOnce), transfers: make(map[string]transfer)}
+}
+
+// permit waits until the body of a request may come. Lasts is how long the request will run behind that.
+func (l *link) permit(ctx context.Context, now time.Time, request string, h hop, lasts time.Duration) (refusal *answer) {
+	arrival := h
+	arrival.goal, arrival.deadline = h.goal.Add(-lasts), h.deadline.Add(-lasts)
+	slot, refusal := l.enter(ctx, now, func(id uint64) bladmit.Offer { return arrival.offer(id) })
+	if refusal != nil {
+		return refusal
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.transfers[request] = transfer{slot: slot, expiry: time.AfterFunc(transferMost, func() { l.arrived(time.Now(), request, false) })}
+	return nil
+}
+
+// arrived ends a transfer. Observed is false if the body did not come.
+func (l *link) arrived(now time.Time, request string, observed bool) {
+	l.mutex.Lock()
+	t, permitted := l.transfers[request]
+	delete(l.transfers, request)
+	l.mutex.Unlock()
+	if permitted {
+		t.expiry.Stop()
+		l.leave(now, t.slot, observed)
+	}
+}
+
+// backlog is how long the next large body waits.
+func (l *link) backlog() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.queue.Backlog()
+}
+
+// permit answers a daemon that asks whether a large body may come.
+func (t *targetSide) permit(ctx context.Context, r *request, h hop) *answer {
+	c := t.courier
+	a := &answer{status: 200, outcome: basillift.OutcomeDone}
+	if c.link != nil {
+		if refusal := c.link.permit(ctx, time.Now(), r.header(c.settings.dialect.RequestID()), h, c.desk.lasts(h)); refusal != nil {
+			a = refusal
+		}
+	}
+	a.load = t.load()
+	return a
+}
+
+// load is what to tell of the target and its VM.
+func (t *targetSide) load() *basillift.Load {
+	l := t.courier.desk.load()
+	if t.courier.link != nil {
+		with := l.WithThinLink(t.courier.link.backlog())
+		return &with
+	}
+	return l
+}
+
+// askPermit asks the daemon beside a target on a thin link whether a large body may come. Nil means that it may.
+func (s *callerSide) askPermit(ctx context.Context, j *journey, daemon string) (refusal *answer, err error) {
+	c := s.courier
+	now := time.Now()
+	x := &exchange{
+		pool: c.pools.Of(daemon), request: &request{method: "GET"}, head: s.permitHead(j, daemon, now), deadline: j.hop.deadline,
+	}
+	received, err := x.run(ctx, now)
+	if err != nil {
+		return nil, err
+	}
+	a := &received.answer
+	a.readInternal()
+	if a.outcome == basillift.OutcomeDone {
+		return nil, nil
+	}
+	return a, nil
+}
+
+func (s *callerSide) permitHead(j *journey, daemon string, now time.Time) []byte {
+	d := s.courier.settings.dialect
+	told := j.hop
+	told.seen = s.courier.news.Seen()
+	b := append([]byte("GET / HTTP/1.1\r\nHost: "), daemon...)
+	b = append(b, "\r\n"...)
+	b = appendField(b, d.RequestID(), j.request.header(d.RequestID()))
+	b = appendField(b, headerPermit, "1")
+	b = appendField(b, headerHop, told.format(now))
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/basillift/blcourier/link_test.go
@@ -0,0 +1,132 @@
+package blcourier
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blplace"
+)
+
+func uploadHop(now time.Time, goal time.Duration) hop {
+	return hop{lane: "upload", objective: goal, goal: now.Add(goal), deadline: now.Add(goal)}
+}
+
+// Guards against large bodies that come over a thin link at the same time and hold up everything else.
+func TestLink(t *testing.T) {
+	ctx := context.Background()
+	now := time.Now()
+	t.Run("one body at a time", func(t *testing.T) {
+		is := is.New(t)
+		l := newLink()
+		is.True(l.permit(ctx, now, "first", uploadHop(now, hangGuard), 0) == nil)
+		second := make(chan *answer, 1)
+		go func() { second <- l.permit(ctx, now, "second", uploadHop(now, hangGuard), 0) }()
+		for l.load().Queued() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(len(second), 0)
+		l.arrived(now.Add(100*time.Millisecond), "first", true)
+		is.True(<-second == nil)
+		is.Equal(len(l.transfers), 1)
+	})
+	t.Run("a body that cannot be in time is refused at once", func(t *testing.T) {
+		is := is.New(t)
+		l := newLink()
+		// The first body says how long a transfer takes.
+		is.True(l.permit(ctx, now, "a", uploadHop(now, time.Second), 0) == nil)
+		l.arrived(now.Add(400*time.Millisecond), "a", true)
+		is.True(l.permit(ctx, now, "b", uploadHop(now, time.Second), 0) == nil)
+		refusal := l.permit(ctx, now, "c", uploadHop(now, 500*time.Millisecond), 300*time.Millisecond)
+		is.True(refusal != nil)
+		is.Equal(refusal.outcome, basillift.OutcomeNotRun)
+		is.True(refusal.retryAfter > 0)
+	})
+	t.Run("a body that does not come frees the link", func(t *testing.T) {
+		is := is.New(t)
+		l := newLink()
+		is.True(l.permit(ctx, now, "lost", uploadHop(now, hangGuard), 0) == nil)
+		l.arrived(now, "lost", false)
+		l.arrived(now, "lost", false)
+		is.True(l.permit(ctx, now, "next", uploadHop(now, hangGuard), 0) == nil)
+	})
+}
+
+// startThinMesh starts two daemons, of which the second one sits beside the only target and has a thin link.
+func startThinMesh(t *testing.T, f *fakeTarget) *mesh {
+	t.Helper()
+	m := startMesh(t, startTarget(t, answerOK), f)
+	m.fleet.Apply(time.Now(), removalOf("t0", 100))
+	m.couriers[1].link = newLink()
+	c := m.dial(t, 0)
+	c.send(get("first", "/get/x"))
+	c.assertAnswer(200, "")
+	return m
+}
+
+// Guards against a body that is sent although the link is taken, and a permit that stays behind.
+func TestLargeBodyAsksForThinLink(t *testing.T) {
+	is := is.New(t)
+	f := startTarget(t, answerOK)
+	m := startThinMesh(t, f)
+	l := m.couriers[1].link
+	body := strings.Repeat("b", permitBytes)
+	t.Run("free link", func(t *testing.T) {
+		c := m.dial(t, 0)
+		c.send(post("p1", body))
+		c.assertAnswer(200, "/post/x "+body)
+		is.Equal(len(l.transfers), 0)
+		is.True(l.load().Hold() > 0)
+	})
+	t.Run("taken link", func(t *testing.T) {
+		now := time.Now()
+		for i := range 2 {
+			// The mean of transfers becomes long, and the link is taken.
+			id := fmt.Sprintf("other%d", i)
+			is.True(l.permit(context.Background(), now, id, uploadHop(now, hangGuard), 0) == nil)
+			if i == 0 {
+				l.arrived(now.Add(20*time.Second), id, true)
+			}
+		}
+		c := m.dial(t, 0)
+		c.send(post("p2", body))
+		c.assertAnswer(503, "")
+		is.Equal(f.count("p2"), 0)
+		small := m.dial(t, 0)
+		small.send(post("p3", "b"))
+		small.assertAnswer(200, "/post/x b")
+	})
+}
+
+// Guards against large bodies that all go to the target whose link is taken.
+func TestBacklogOfLinkCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	p := blplace.New("z", rand.New(rand.NewSource(1)))
+	fleet := blfleet.New()
+	for i, backlog := range []time.Duration{700 * time.Millisecond, 0} {
+		instance := fmt.Sprintf("i%d", i)
+		e := basillift.NewEndpoint(instance, "s", fmt.Sprintf("10.0.0.%d:80", i+1), "z", 9, basillift.TargetReady)
+		fleet.Apply(now, basillift.NewPublication(instance, uint64(i)+1).WithEndpoint(e))
+		load := basillift.NewLoad(i, 0, 9, 100*time.Millisecond).WithThinLink(backlog)
+		target := fleet.Targets("s")[i]
+		p.Started(now, target)
+		p.Ended(now, target, blplace.NewAsk("lane", 0, now), blplace.ResultAnswered, 100*time.Millisecond, &load)
+		is.True(p.ThinLink(instance))
+	}
+	large := blplace.NewAsk("lane", permitBytes, now.Add(500*time.Millisecond))
+	small := blplace.NewAsk("lane", 100, now.Add(500*time.Millisecond))
+	for range 10 {
+		chosen, _ := p.Choose(now, fleet.Targets("s"), nil, large)
+		is.Equal(chosen.Endpoint().Instance(), "i1")
+		chosen, _ = p.Choose(now, fleet.Targets("s"), nil, small)
+		is.Equal(chosen.Endpoint().Instance(), "i0")
+	}
+}
--- a/basillift/blcourier/settings.go
+++ b/basillift/blcourier/settings.go
@@ -52,6 +52,7 @@
 	ratio   float64
 	fixed   int
 	leaving time.Duration
+	thin    bool
 }
 
 // NewSettings returns settings with the addresses on which callers, other daemons
@@ -84,6 +85,12 @@
 	return s
 }
 
+// WithThinLink says that large bodies have to come over the VM's link one after the other.
+func (s Settings) WithThinLink(thin bool) Settings {
+	s.thin = thin
+	return s
+}
+
 // limits bounds the connections to an address.
 func (s Settings) limits(address string) blpool.Limits {
 	if address == s.target {
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -56,6 +56,16 @@
 		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
 	t.courier.news.Hear(h.seen)
+	if r.header(headerPermit) != "" {
+		a := t.permit(ctx, r, h)
+		a.seen = t.courier.news.Seen()
+		return a
+	}
+	if id := r.header(t.courier.settings.dialect.RequestID()); t.courier.link != nil && r.whole() {
+		t.courier.link.arrived(r.arrived, id, true)
+	} else if t.courier.link != nil {
+		defer t.courier.link.arrived(time.Now(), id, false)
+	}
 	a := t.run(ctx, r, h)
 	a.seen = t.courier.news.Seen()
 	return a
@@ -65,7 +75,7 @@
 func (t *targetSide) run(ctx context.Context, r *request, h hop) *answer {
 	h.caller = r.header(t.courier.settings.dialect.Caller())
 	a := t.admit(ctx, r, h)
-	a.load = t.courier.desk.load()
+	a.load = t.load()
 	return a
 }
 
--- a/basillift/blfeed/shelf_test.go
+++ b/basillift/blfeed/shelf_test.go
@@ -34,7 +34,9 @@
 			WithDaemon("10.0.0.1:81").WithStart(start, 3*time.Second).WithSequence(revision))
 }
 
-func removal(key string, revision uint64) basillift.Publication { return basillift.NewPublication(key, revision) }
+func removal(key string, revision uint64) basillift.Publication {
+	return basillift.NewPublication(key, revision)
+}
 
 // newTestShelf returns a shelf that has read two targets and table 1 at revision 20.
 func newTestShelf(t *testing.T) *Shelf {
@@ -70,7 +72,9 @@
 }
 
 // since asks as a daemon that holds table 1 and all changes up to a revision.
-func since(known, seen uint64) basillift.FeedAsk { return basillift.NewFeedAsk(1, 0).Since(known, seen) }
+func since(known, seen uint64) basillift.FeedAsk {
+	return basillift.NewFeedAsk(1, 0).Since(known, seen)
+}
 
 // Guards against followers that miss a change.
 func TestShelf(t *testing.T) {
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -40,6 +40,8 @@
 	probeTime = 200 * time.Millisecond
 	// failureWeight is the share of a new observation in the failure rate.
 	failureWeight = 0.1
+	// largeBytes is the size from which a body waits for a thin link: 26 ms of 5 Mbit/s.
+	largeBytes = 16 << 10
 	// laneWeight is the share of a new observation in the relative time of a lane.
 	laneWeight = 1.0 / 32
 	// lanesMost bounds how many lanes are remembered.
@@ -198,6 +200,9 @@
 	hold := n.hold(now, t)
 	expected := hold * p.laneFactor(a.lane)
 	expected += hold * float64(max(0, load+1-slots)) / float64(slots)
+	if backlog, thin := n.load.ThinLink(); thin && a.bytes >= largeBytes {
+		expected += max(0, backlog-now.Sub(n.reported)).Seconds()
+	}
 	cost := n.failures + fullness*float64(load)/float64(slots)
 	if e.Domain() != p.domain {
 		expected += farTime.Seconds()
@@ -322,6 +327,18 @@
 	return n
 }
 
+// ThinLink reports whether large bodies wait for the link of a target's VM.
+func (p *Placer) ThinLink(instance string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	n := p.peers[instance]
+	if n == nil {
+		return false
+	}
+	_, thin := n.load.ThinLink()
+	return thin
+}
+
 // News is the age of the load report of a target; 0 if there is none.
 func (p *Placer) News(now time.Time, instance string) time.Duration {
 	p.mutex.Lock()
--- a/basillift/feed.go
+++ b/basillift/feed.go
@@ -15,7 +15,9 @@
 
 // NewFeedAsk returns a question with the held version of the routing table, 0 for none, and how long the other
 // daemon may wait for news. All entries are asked for.
-func NewFeedAsk(version uint64, wait time.Duration) FeedAsk { return FeedAsk{version: version, wait: wait} }
+func NewFeedAsk(version uint64, wait time.Duration) FeedAsk {
+	return FeedAsk{version: version, wait: wait}
+}
 
 // Since asks for changes only: all changes up to the revision known are held, and seen is the newest one of an entry.
 func (a FeedAsk) Since(known, seen uint64) FeedAsk {
@@ -61,7 +63,9 @@
 }
 
 // NewFeedReply returns an answer. The revision is the one up to which the daemon holds all changes.
-func NewFeedReply(s FeedState, revision uint64) FeedReply { return FeedReply{state: s, revision: revision} }
+func NewFeedReply(s FeedState, revision uint64) FeedReply {
+	return FeedReply{state: s, revision: revision}
+}
 
 // WithBody adds the encoded entries.
 func (r FeedReply) WithBody(body []byte) FeedReply {
--- a/basillift/load.go
+++ b/basillift/load.go
@@ -8,6 +8,8 @@
 	queued  int
 	slots   int
 	hold    time.Duration
+	thin    bool
+	backlog time.Duration
 }
 
 // NewLoad returns the requests that run and wait, the slots, and the mean time for which a request holds a slot.
@@ -26,3 +28,12 @@
 
 // Hold is the mean time for which a request holds a slot.
 func (l Load) Hold() time.Duration { return l.hold }
+
+// WithThinLink adds that the VM's link is thin, and how long the next large body waits for it.
+func (l Load) WithThinLink(backlog time.Duration) Load {
+	l.thin, l.backlog = true, backlog
+	return l
+}
+
+// ThinLink reports whether the VM's link is thin, and how long the next large body waits for it.
+func (l Load) ThinLink() (backlog time.Duration, thin bool) { return l.backlog, l.thin }
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -93,7 +93,8 @@
 		WithTarget(s.Target(), s.Service(), s.Place().FailureDomain()).
 		WithDialect(platform.Dialect()).
 		WithRepeats(s.Repeats(), s.Allowance()).
-		WithLeaving(s.Leaving())
+		WithLeaving(s.Leaving()).
+		WithThinLink(thinLink(s))
 	return blcourier.New(settings, tables, fleet, log, rnd)
 }
 
@@ -108,9 +109,12 @@
 	return r
 }
 
+// thinLink reports whether the VM's link is thin.
+func thinLink(s blsettings.Settings) bool { return s.Link() > 0 && s.Link() < fastLink }
+
 // feed decides whether the daemon reads the registry, also for others, or follows other daemons.
 func (r *routed) feed(registry basillift.Registry, rnd *rand.Rand) {
-	if link := r.settings.Link(); link == 0 || link >= fastLink {
+	if !thinLink(r.settings) {
 		r.shelf = blfeed.NewShelf()
 		r.courier.Feed(r.shelf)
 	} else {
