--- a/basillift/blfeed/shelf.go
+++ b/basillift/blfeed/shelf.go
@@ -19,6 +19,8 @@
 	keptTables = 8
 	// keptChanges is how many changes of targets' entries a shelf holds: those of all targets of a large mesh at once.
 	keptChanges = 2048
+	// followedFor is how long a daemon counts as followed after a question: some waits of its followers.
+	followedFor = 5 * time.Second
 )
 
 // entry is the newest publication of a key, and when this daemon learned of it.
@@ -40,6 +42,8 @@
 	// seen is the newest revision of an entry.
 	seen uint64
 	away bool
+	// asked is when a follower asked last.
+	asked time.Time
 	// changed is closed and replaced when there is news.
 	changed chan struct{}
 	// messages holds what was encoded since the last news, by the question.
@@ -111,6 +115,13 @@
 	s.wake()
 }
 
+// Followed reports whether a follower has asked lately.
+func (s *Shelf) Followed(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Sub(s.asked) < followedFor
+}
+
 func (s *Shelf) wake() {
 	clear(s.messages)
 	close(s.changed)
@@ -140,6 +151,7 @@
 func (s *Shelf) answer(now time.Time, a basillift.FeedAsk) (basillift.FeedReply, <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.asked = now
 	state := s.state(a)
 	reply := basillift.NewFeedReply(state, s.known)
 	if state != basillift.FeedNews && state != basillift.FeedWhole {
--- a/basillift/blfeed/shelf_test.go
+++ b/basillift/blfeed/shelf_test.go
@@ -152,3 +152,13 @@
 	is.Equal(ask(t, func(s *Shelf, _ context.CancelFunc) { s.SetAway(true) }), basillift.FeedBehind)
 	is.Equal(ask(t, func(_ *Shelf, cancel context.CancelFunc) { cancel() }), basillift.FeedBehind)
 }
+
+// Guards against a reader that does not know of its followers, or counts those that are gone.
+func TestFollowed(t *testing.T) {
+	is := is.New(t)
+	s := newTestShelf(t)
+	is.True(!s.Followed(start))
+	s.answer(start, since(20, 12))
+	is.True(s.Followed(start.Add(time.Second)))
+	is.True(!s.Followed(start.Add(followedFor)))
+}
--- a/basillift/blfollow/follower.go
+++ b/basillift/blfollow/follower.go
@@ -34,6 +34,9 @@
 	registry basillift.Registry
 	sink     Sink
 
+	// followed tells whether other daemons follow this one; nil for never.
+	followed func(now time.Time) bool
+
 	mutex sync.Mutex
 	state *State
 	// giveUp ends the wait for changes that is in progress.
@@ -45,6 +48,9 @@
 	return &Follower{registry: r, sink: s, state: NewState(time.Now(), rnd)}
 }
 
+// WhenFollowed sets what tells whether other daemons follow this one. It must be called before Run.
+func (f *Follower) WhenFollowed(followed func(now time.Time) bool) { f.followed = followed }
+
 // Run follows the registry until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for {
@@ -61,6 +67,9 @@
 func (f *Follower) next(now time.Time) Step {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.followed != nil {
+		f.state.SetFollowed(f.followed(now))
+	}
 	return f.state.Next(now)
 }
 
--- a/basillift/blfollow/state.go
+++ b/basillift/blfollow/state.go
@@ -13,6 +13,8 @@
 	// leave a wait without the changes of its last second, for all daemons at once; 3 s later they count as in
 	// touch again. One daemon's lost answer is noticed earlier, by what others have seen.
 	changeWait = 3 * time.Second
+	// followedWait is the same for a daemon that others follow, who learn of it a little later than it does.
+	followedWait = 2 * time.Second
 	// changePause is the least time between two answers with changes; a change may take 2 s to be in force.
 	changePause = 400 * time.Millisecond
 	// relayPause is the same for answers of other daemons, which have waited for the registry already.
@@ -78,6 +80,7 @@
 	changed  time.Time
 	rest     time.Duration
 	away     bool
+	followed bool
 	seen     uint64
 	heard    uint64
 	heardAt  time.Time
@@ -97,9 +100,16 @@
 	if s.failures == 0 {
 		pause = max(0, s.changed.Add(s.rest).Sub(now))
 	}
-	return Step{kind: StepChanges, revision: s.revision, wait: changeWait, pause: pause}
+	wait := changeWait
+	if s.followed {
+		wait = followedWait
+	}
+	return Step{kind: StepChanges, revision: s.revision, wait: wait, pause: pause}
 }
 
+// SetFollowed tells whether other daemons follow this one.
+func (s *State) SetFollowed(followed bool) { s.followed = followed }
+
 // backoff is the pause after failures: half fixed, half random.
 func (s *State) backoff() time.Duration {
 	if s.failures == 0 {
--- a/basillift/blfollow/state_test.go
+++ b/basillift/blfollow/state_test.go
@@ -140,3 +140,22 @@
 	s.Changed(start, basillift.NewListing([]basillift.Publication{basillift.NewPublication("a", 2)}, 8, ""))
 	is.True(!s.Overdue(due))
 }
+
+// Guards against followers of a daemon that are behind when they count as in touch again, since it waited too long itself.
+func TestFollowed(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	is.Equal(s.Next(start).Wait(), changeWait)
+	s.SetFollowed(true)
+	is.True(s.Next(start).Wait()+2*relayPause < changeWait)
+}
+
+// Guards against the pauses of two daemons in a row that add up.
+func TestRelayed(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.Listed(start, basillift.NewListing(nil, 7, ""))
+	s.Changed(start, basillift.NewListing(publications("a"), 8, "").WithRelayed())
+	is.Equal(s.Next(start).Pause(), relayPause)
+}
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -124,6 +124,9 @@
 		r.courier.Feed(readers)
 	}
 	r.follower = blfollow.New(registry, r, rnd)
+	if r.shelf != nil {
+		r.follower.WhenFollowed(r.shelf.Followed)
+	}
 	r.courier.Follow(r.follower)
 }
 
