blfeed: silent readers are left sooner; several daemons are asked at once for a reader; the followed daemon is logged

All daemons had restarted at 28.2 and knew no reader; asking one daemon after the other over busy links took seconds (connections 150 ms each), and the wait for changes at the store brings each version of a storm, 360 KB each. Other daemons waited up to 2 s for a reader without power. Event 205 says which daemon is followed and why another one is not.

--- a/basillift/blcourier/feed.go
+++ b/basillift/blcourier/feed.go
@@ -17,8 +17,12 @@
 // headerFeed asks another daemon for what is new in the registry, and tells the state of its answer.
 const headerFeed = "Basillift-Feed"
 
-// feedTransfer is how long an answer may take beyond its wait: a whole table of 400 KB on a link of 5 Mbit/s.
-const feedTransfer = time.Second
+const (
+	// changesTransfer and wholeTransfer are how long an answer may take beyond its wait: some KB behind a large
+	// body, and a whole table of 400 KB, on a link of 5 Mbit/s.
+	changesTransfer = 500 * time.Millisecond
+	wholeTransfer   = 1500 * time.Millisecond
+)
 
 // feedWait bounds how long a daemon waits for news on behalf of another one.
 const feedWait = 30 * time.Second
@@ -75,7 +79,10 @@
 	head := "GET / HTTP/1.1\r\nHost: " + daemon + "\r\n" + headerFeed + ": " + formatFeedAsk(a) + "\r\n\r\n"
 	x := &exchange{
 		pool: c.pools.Of(daemon), request: &request{method: http.MethodGet}, head: []byte(head),
-		deadline: now.Add(a.Wait() + feedTransfer),
+		deadline: now.Add(a.Wait() + wholeTransfer),
+	}
+	if a.Known() > 0 {
+		x.deadline = now.Add(a.Wait() + changesTransfer)
 	}
 	received, err := x.run(ctx, now)
 	if err != nil {
--- a/basillift/blfeed/readers.go
+++ b/basillift/blfeed/readers.go
@@ -53,35 +53,46 @@
 	return &Readers{own: own, opinions: make(map[string]opinion)}
 }
 
-// Choose returns the address of the daemon to ask; false if there is none.
+// Choose returns the address of the reader to ask; false if none is known.
 func (r *Readers) Choose(now time.Time, neighbors []basillift.Neighbor) (string, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	best, found, bestRank := basillift.Neighbor{}, false, 0
-	for _, n := range neighbors {
-		rank := r.rank(now, n)
-		if rank == 0 || n.Address() == r.own {
-			continue
-		}
-		if !found || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(r.weight(n), r.weight(best))) > 0 {
-			best, found, bestRank = n, true, rank
-		}
+	readers := r.with(now, standingReader, neighbors)
+	if len(readers) == 0 {
+		return "", false
 	}
-	return best.Address(), found
+	return slices.MaxFunc(readers, r.compare).Address(), true
 }
 
-// rank orders daemons; 0 for one that is not asked.
-func (r *Readers) rank(now time.Time, n basillift.Neighbor) int {
-	switch s := r.standing(now, n.Address()); {
-	case s == standingReader && n.Near():
-		return 3
-	case s == standingReader:
-		return 2
-	case s == standingUnknown:
-		return 1
-	default:
-		return 0
+// Unknown returns the addresses of some daemons that may be readers, at most count.
+func (r *Readers) Unknown(now time.Time, neighbors []basillift.Neighbor, count int) []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	unknown := r.with(now, standingUnknown, neighbors)
+	slices.SortFunc(unknown, r.compare)
+	addresses := make([]string, 0, count)
+	for _, n := range unknown[:min(len(unknown), count)] {
+		addresses = append(addresses, n.Address())
+	}
+	return addresses
+}
+
+// with returns the other daemons that have a standing.
+func (r *Readers) with(now time.Time, s standing, neighbors []basillift.Neighbor) []basillift.Neighbor {
+	return slices.DeleteFunc(slices.Clone(neighbors), func(n basillift.Neighbor) bool {
+		return n.Address() == r.own || r.standing(now, n.Address()) != s
+	})
+}
+
+// compare puts daemons of the own failure domain behind others, and then goes by lot.
+func (r *Readers) compare(a, b basillift.Neighbor) int {
+	if a.Near() != b.Near() {
+		if a.Near() {
+			return 1
+		}
+		return -1
 	}
+	return cmp.Compare(r.weight(a), r.weight(b))
 }
 
 func (r *Readers) standing(now time.Time, address string) standing {
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -82,6 +82,12 @@
 // PlatformReturned is logged when the platform answers again.
 func PlatformReturned() Entry { return Entry{204, zerolog.InfoLevel, "platform answers again", "none"} }
 
+// ReaderChanged is logged when the daemon follows another daemon instead of the platform, another one than before, or
+// none any more.
+func ReaderChanged() Entry {
+	return Entry{205, zerolog.InfoLevel, "platform is read through another daemon", "none; without a daemon in the line the platform is read itself"}
+}
+
 // MemberDied is logged when a member is declared dead.
 func MemberDied() Entry { return Entry{300, zerolog.InfoLevel, "member died", "none"} }
 
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -120,7 +120,9 @@
 	} else {
 		readers := blfeed.NewReaders(r.settings.Addresses().Mesh())
 		neighbors := func() []basillift.Neighbor { return r.fleet.Neighbors(r.settings.Place().FailureDomain()) }
-		registry = blfeed.NewSource(registry, r.courier, readers, r.tables, neighbors)
+		source := blfeed.NewSource(registry, r.courier, readers, r.tables, neighbors)
+		source.Notify(r.readerChanged)
+		registry = source
 		r.courier.Feed(readers)
 	}
 	r.follower = blfollow.New(registry, r, rnd)
@@ -223,6 +225,11 @@
 	return append(t.Explain(host, path), r.courier.ExplainTargets(now, host, path)...)
 }
 
+// readerChanged logs which daemon is followed.
+func (r *routed) readerChanged(reader string, err error) {
+	r.log.Event(bllog.ReaderChanged()).Str("daemon", reader).AnErr("error", err).Send()
+}
+
 // Replace implements blfollow.Sink.
 func (r *routed) Replace(now time.Time, revision uint64, all []basillift.Publication) {
 	var tables, endpoints []basillift.Publication
