blcourier, blplace: a permit is asked for while nothing is known of a target's link

Change: large bodies need a permit unless a load report says that the link is fast. On sites with fast links that is one round trip for the first large body to each target.

--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -292,7 +292,6 @@
 		return a, e, false
 	}
 	if refusal != nil {
-		s.courier.news.Hear(refusal.seen)
 		return refusal, ending(refusal), false
 	}
 	return nil, "", true
--- a/basillift/blcourier/link.go
+++ b/basillift/blcourier/link.go
@@ -93,7 +93,7 @@
 	return l
 }
 
-// askPermit asks the daemon beside a target on a thin link whether a large body may come. Nil means that it may.
+// askPermit asks the daemon beside a target whose link may be thin whether a large body may come. Nil means that it may.
 func (s *callerSide) askPermit(ctx context.Context, j *journey, daemon string) (refusal *answer, err error) {
 	c := s.courier
 	now := time.Now()
@@ -106,6 +106,7 @@
 	}
 	a := &received.answer
 	a.readInternal()
+	c.news.Hear(a.seen)
 	if a.outcome == basillift.OutcomeDone {
 		return nil, nil
 	}
--- a/basillift/blcourier/link_test.go
+++ b/basillift/blcourier/link_test.go
@@ -65,9 +65,6 @@
 	m := startMesh(t, startTarget(t, answerOK), f)
 	m.fleet.Apply(time.Now(), removalOf("t0", 100))
 	m.couriers[1].link = newLink()
-	c := m.dial(t, 0)
-	c.send(get("first", "/get/x"))
-	c.assertAnswer(200, "")
 	return m
 }
 
@@ -80,11 +77,26 @@
 	body := strings.Repeat("b", permitBytes)
 	t.Run("free link", func(t *testing.T) {
 		c := m.dial(t, 0)
+		c.send(get("first", "/get/x"))
+		c.assertAnswer(200, "")
 		c.send(post("p1", body))
 		c.assertAnswer(200, "/post/x "+body)
 		is.Equal(len(l.transfers), 0)
 		is.True(l.load().Hold() > 0)
 	})
+	t.Run("nothing is known of the link", func(t *testing.T) {
+		fresh := startThinMesh(t, f)
+		taken := fresh.couriers[1].link
+		now := time.Now()
+		is := is.New(t)
+		is.True(taken.permit(context.Background(), now, "slow", uploadHop(now, hangGuard), 0) == nil)
+		taken.arrived(now.Add(20*time.Second), "slow", true)
+		is.True(taken.permit(context.Background(), now, "other", uploadHop(now, hangGuard), 0) == nil)
+		c := fresh.dial(t, 0)
+		c.send(post("p0", body))
+		c.assertAnswer(503, "")
+		is.Equal(f.count("p0"), 0)
+	})
 	t.Run("taken link", func(t *testing.T) {
 		now := time.Now()
 		for i := range 2 {
--- a/basillift/blfeed/source_test.go
+++ b/basillift/blfeed/source_test.go
@@ -28,12 +28,24 @@
 
 func (m *mesh) AskFeed(ctx context.Context, daemon string, a basillift.FeedAsk) (basillift.FeedReply, error) {
 	m.note(daemon)
-	if s := m.shelves[daemon]; s != nil {
+	if s := m.shelf(daemon); s != nil {
 		return s.Answer(ctx, a), nil
 	}
 	return basillift.FeedReply{}, errGone
 }
 
+func (m *mesh) shelf(daemon string) *Shelf {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.shelves[daemon]
+}
+
+func (m *mesh) change(shelves map[string]*Shelf) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.shelves = shelves
+}
+
 func (m *mesh) note(asked string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -135,7 +147,7 @@
 		s := m.follow(t)
 		l, err := s.Changes(ctx, 20, hangGuard)
 		assertListing(t, l, err, 21, "x")
-		m.shelves = map[string]*Shelf{"d-0": newTestShelf(t), "d-1": changedShelf(t)}
+		m.change(map[string]*Shelf{"d-0": newTestShelf(t), "d-1": changedShelf(t)})
 		l, err = s.Changes(ctx, 21, 0)
 		assertListing(t, l, err, 21)
 	})
@@ -160,7 +172,7 @@
 		s := m.follow(t)
 		_, err := s.Changes(ctx, 20, hangGuard)
 		is.New(t).NoErr(err)
-		m.shelves = nil
+		m.change(nil)
 		_, err = s.Changes(ctx, 21, hangGuard)
 		is.New(t).True(errors.Is(err, basillift.ErrCompacted))
 		l, err := s.List(ctx, "")
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -327,13 +327,14 @@
 	return n
 }
 
-// ThinLink reports whether large bodies wait for the link of a target's VM.
+// ThinLink reports whether large bodies may have to wait for the link of a target's VM: unless a load report says
+// that it is fast.
 func (p *Placer) ThinLink(instance string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	n := p.peers[instance]
-	if n == nil {
-		return false
+	if n == nil || n.reported.IsZero() {
+		return true
 	}
 	_, thin := n.load.ThinLink()
 	return thin
