--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -277,7 +277,7 @@
 
 // needsPermit reports whether a request has a large body for a VM with a thin link.
 func (s *callerSide) needsPermit(j *journey, t *blfleet.Target) bool {
-	if j.request.whole() && len(j.request.body) < permitBytes {
+	if j.request.whole() && len(j.request.body) < blplace.LargeBytes {
 		return false
 	}
 	return s.courier.placer.ThinLink(t.Endpoint().Instance())
--- a/basillift/blcourier/link.go
+++ b/basillift/blcourier/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"basillift.dev/basillift"
@@ -9,8 +11,6 @@
 )
 
 const (
-	// permitBytes is the size from which a body asks for the way to a VM with a thin link: 26 ms of 5 Mbit/s.
-	permitBytes = 16 << 10
 	// transfersAtOnce is how many large bodies come over a thin link at a time. A sender's link is seldom faster,
 	// so one fills it, and a second one would only be in the way of small requests.
 	transfersAtOnce = 1
@@ -63,6 +63,17 @@
 	}
 }
 
+// received notes that a request came whose body may have had a permit. The returned function is called when the
+// request has ended.
+func (l *link) received(r *request, id string) (ended func()) {
+	if r.whole() {
+		l.arrived(r.arrived, id, true)
+		return func() {}
+	}
+	// The rest of the body is on its way while the request runs.
+	return func() { l.arrived(time.Now(), id, false) }
+}
+
 // backlog is how long the next large body waits.
 func (l *link) backlog() time.Duration {
 	l.mutex.Lock()
@@ -73,7 +84,7 @@
 // permit answers a daemon that asks whether a large body may come.
 func (t *targetSide) permit(ctx context.Context, r *request, h hop) *answer {
 	c := t.courier
-	a := &answer{status: 200, outcome: basillift.OutcomeDone}
+	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if c.link != nil {
 		if refusal := c.link.permit(ctx, time.Now(), r.header(c.settings.dialect.RequestID()), h, c.desk.lasts(h)); refusal != nil {
 			a = refusal
@@ -98,11 +109,11 @@
 	c := s.courier
 	now := time.Now()
 	x := &exchange{
-		pool: c.pools.Of(daemon), request: &request{method: "GET"}, head: s.permitHead(j, daemon, now), deadline: j.hop.deadline,
+		pool: c.pools.Of(daemon), request: &request{method: http.MethodGet}, head: s.permitHead(j, daemon, now), deadline: j.hop.deadline,
 	}
 	received, err := x.run(ctx, now)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("ask for permit: %w", err)
 	}
 	a := &received.answer
 	a.readInternal()
--- a/basillift/blcourier/link_test.go
+++ b/basillift/blcourier/link_test.go
@@ -19,6 +19,13 @@
 	return hop{lane: "upload", objective: goal, goal: now.Add(goal), deadline: now.Add(goal)}
 }
 
+// permits is the number of bodies that are on their way.
+func permits(l *link) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.transfers)
+}
+
 // Guards against large bodies that come over a thin link at the same time and hold up everything else.
 func TestLink(t *testing.T) {
 	ctx := context.Background()
@@ -35,7 +42,7 @@
 		is.Equal(len(second), 0)
 		l.arrived(now.Add(100*time.Millisecond), "first", true)
 		is.True(<-second == nil)
-		is.Equal(len(l.transfers), 1)
+		is.Equal(permits(l), 1)
 	})
 	t.Run("a body that cannot be in time is refused at once", func(t *testing.T) {
 		is := is.New(t)
@@ -74,16 +81,24 @@
 	f := startTarget(t, answerOK)
 	m := startThinMesh(t, f)
 	l := m.couriers[1].link
-	body := strings.Repeat("b", permitBytes)
+	body := strings.Repeat("b", blplace.LargeBytes)
 	t.Run("free link", func(t *testing.T) {
 		c := m.dial(t, 0)
 		c.send(get("first", "/get/x"))
 		c.assertAnswer(200, "")
 		c.send(post("p1", body))
 		c.assertAnswer(200, "/post/x "+body)
-		is.Equal(len(l.transfers), 0)
+		is.Equal(permits(l), 0)
 		is.True(l.load().Hold() > 0)
 	})
+	t.Run("streamed body", func(t *testing.T) {
+		c := m.dial(t, 0)
+		c.send(post("p4", strings.Repeat("s", 2*wholeBytes)))
+		c.assertAnswer(200, "")
+		is.Equal(f.count("p4"), 1)
+		is.Equal(permits(l), 0)
+		is.Equal(l.load().Running(), 0)
+	})
 	t.Run("nothing is known of the link", func(t *testing.T) {
 		fresh := startThinMesh(t, f)
 		taken := fresh.couriers[1].link
@@ -133,7 +148,7 @@
 		p.Ended(now, target, blplace.NewAsk("lane", 0, now), blplace.ResultAnswered, 100*time.Millisecond, &load)
 		is.True(p.ThinLink(instance))
 	}
-	large := blplace.NewAsk("lane", permitBytes, now.Add(500*time.Millisecond))
+	large := blplace.NewAsk("lane", blplace.LargeBytes, now.Add(500*time.Millisecond))
 	small := blplace.NewAsk("lane", 100, now.Add(500*time.Millisecond))
 	for range 10 {
 		chosen, _ := p.Choose(now, fleet.Targets("s"), nil, large)
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -61,10 +61,8 @@
 		a.seen = t.courier.news.Seen()
 		return a
 	}
-	if id := r.header(t.courier.settings.dialect.RequestID()); t.courier.link != nil && r.whole() {
-		t.courier.link.arrived(r.arrived, id, true)
-	} else if t.courier.link != nil {
-		defer t.courier.link.arrived(time.Now(), id, false)
+	if l := t.courier.link; l != nil {
+		defer l.received(r, r.header(t.courier.settings.dialect.RequestID()))()
 	}
 	a := t.run(ctx, r, h)
 	a.seen = t.courier.news.Seen()
--- a/basillift/blplace/placer.go
+++ b/basillift/blplace/placer.go
@@ -40,8 +40,6 @@
 	probeTime = 200 * time.Millisecond
 	// failureWeight is the share of a new observation in the failure rate.
 	failureWeight = 0.1
-	// largeBytes is the size from which a body waits for a thin link: 26 ms of 5 Mbit/s.
-	largeBytes = 16 << 10
 	// laneWeight is the share of a new observation in the relative time of a lane.
 	laneWeight = 1.0 / 32
 	// lanesMost bounds how many lanes are remembered.
@@ -51,6 +49,9 @@
 	farDraws  = 1
 )
 
+// LargeBytes is the size from which a body waits for a thin link: 26 ms of 5 Mbit/s.
+const LargeBytes = 16 << 10
+
 // Result says how an attempt at a target ended.
 type Result string
 
@@ -200,7 +201,7 @@
 	hold := n.hold(now, t)
 	expected := hold * p.laneFactor(a.lane)
 	expected += hold * float64(max(0, load+1-slots)) / float64(slots)
-	if backlog, thin := n.load.ThinLink(); thin && a.bytes >= largeBytes {
+	if backlog, thin := n.load.ThinLink(); thin && a.bytes >= LargeBytes {
 		expected += max(0, backlog-now.Sub(n.reported)).Seconds()
 	}
 	cost := n.failures + fullness*float64(load)/float64(slots)
