blfeed: a reader that lacks what a follower has heard, or whose registry is silent, is behind

The store had fallen silent for seven of ten readers. They answered 'unchanged' until their waits ended 3.5 s later, so followers went from one to the next for 9 s although other daemons told them of newer revisions all the time. Change: a question carries the newest revision that was heard, a reader without it is behind and hears of it itself; a shelf whose registry has not answered for 2.4 s (a wait of 2 s) does not say 'unchanged'.

--- a/basillift/blcourier/feed.go
+++ b/basillift/blcourier/feed.go
@@ -39,6 +39,7 @@
 	if !ok || c.feed == nil {
 		return rejected(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
+	c.news.Hear(ask.Seen())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A stop does not wait for daemons that wait for changes.
--- a/basillift/blfeed/shelf.go
+++ b/basillift/blfeed/shelf.go
@@ -21,6 +21,9 @@
 	keptChanges = 2048
 	// followedFor is how long a daemon counts as followed after a question: some waits of its followers.
 	followedFor = 5 * time.Second
+	// trustedFor is how long after the registry's last answer a shelf counts as current: a wait for changes of a
+	// daemon that is followed, and some round trips.
+	trustedFor = 2400 * time.Millisecond
 )
 
 // entry is the newest publication of a key, and when this daemon learned of it.
@@ -42,6 +45,8 @@
 	// seen is the newest revision of an entry.
 	seen uint64
 	away bool
+	// answered tells when the registry answered last; nil if that is not known.
+	answered func() time.Time
 	// asked is when a follower asked last.
 	asked time.Time
 	// changed is closed and replaced when there is news.
@@ -58,6 +63,10 @@
 	}
 }
 
+// Trust sets what tells when the registry answered last. A registry that has fallen silent is not away yet. It must
+// be called before the first use.
+func (s *Shelf) Trust(answered func() time.Time) { s.answered = answered }
+
 // Adopt adds the newest table, and what the registry says of its key.
 func (s *Shelf) Adopt(p basillift.Publication, t *bltable.Table) {
 	s.mutex.Lock()
@@ -153,6 +162,9 @@
 	defer s.mutex.Unlock()
 	s.asked = now
 	state := s.state(a)
+	if state == basillift.FeedUnchanged && s.answered != nil && now.Sub(s.answered()) > trustedFor {
+		state = basillift.FeedBehind
+	}
 	reply := basillift.NewFeedReply(state, s.known)
 	if state != basillift.FeedNews && state != basillift.FeedWhole {
 		return reply, s.changed
--- a/basillift/blfeed/shelf_test.go
+++ b/basillift/blfeed/shelf_test.go
@@ -162,3 +162,18 @@
 	is.True(s.Followed(start.Add(time.Second)))
 	is.True(!s.Followed(start.Add(followedFor)))
 }
+
+// Guards against a reader that calls itself current although the registry has fallen silent.
+func TestTrust(t *testing.T) {
+	is := is.New(t)
+	s := newTestShelf(t)
+	s.Trust(func() time.Time { return start })
+	for silence, want := range map[time.Duration]basillift.FeedState{
+		trustedFor: basillift.FeedUnchanged, trustedFor + time.Millisecond: basillift.FeedBehind,
+	} {
+		r, _ := s.answer(start.Add(silence), since(20, 12))
+		is.Equal(r.State(), want)
+	}
+	r, _ := s.answer(start.Add(time.Hour), basillift.NewFeedAsk(0, 0))
+	is.Equal(r.State(), basillift.FeedWhole)
+}
--- a/basillift/blfeed/source.go
+++ b/basillift/blfeed/source.go
@@ -42,6 +42,8 @@
 	// known is the revision up to which this daemon holds all changes, seen the newest one of an entry.
 	known atomic.Uint64
 	seen  atomic.Uint64
+	// heard is the newest revision of an entry that another daemon has seen.
+	heard atomic.Uint64
 	// relayed is set while the last answer came from a reader.
 	relayed atomic.Bool
 	// reader is the daemon that is followed; empty for none.
@@ -89,7 +91,7 @@
 func (s *Source) Changes(ctx context.Context, revision uint64, wait time.Duration) (basillift.Listing, error) {
 	s.known.Store(max(s.known.Load(), revision))
 	fed, whole := s.ask(ctx, min(wait, feedWait), func(version uint64, wait time.Duration) basillift.FeedAsk {
-		return basillift.NewFeedAsk(version, wait).Since(revision, s.seen.Load())
+		return basillift.NewFeedAsk(version, wait).Since(revision, max(s.seen.Load(), s.heard.Load()))
 	})
 	switch {
 	case whole, !fed.Relayed() && ctx.Err() == nil && s.relayed.Swap(false):
@@ -120,6 +122,9 @@
 	return l, nil
 }
 
+// Hear takes the newest revision that another daemon has seen: a reader that does not know it is behind.
+func (s *Source) Hear(revision uint64) { s.heard.Store(max(s.heard.Load(), revision)) }
+
 func (s *Source) see(revision uint64) { s.seen.Store(max(s.seen.Load(), revision)) }
 
 // question is what to ask a daemon, by the held version of the table and how long it may wait.
--- a/basillift/blfeed/source_test.go
+++ b/basillift/blfeed/source_test.go
@@ -151,6 +151,13 @@
 		l, err = s.Changes(ctx, 21, 0)
 		assertListing(t, l, err, 21)
 	})
+	t.Run("a reader lacks what others have seen", func(t *testing.T) {
+		m := &mesh{shelves: map[string]*Shelf{"d-0": newTestShelf(t), "d-1": changedShelf(t)}}
+		s := m.follow(t)
+		s.Hear(21)
+		l, err := s.Changes(ctx, 20, hangGuard)
+		assertListing(t, l, err, 21, "x")
+	})
 	t.Run("a reader lacks older changes", func(t *testing.T) {
 		m := &mesh{shelves: map[string]*Shelf{"d-0": changedShelf(t), "d-1": changedShelf(t)}}
 		_, err := m.follow(t).Changes(ctx, 5, hangGuard)
--- a/basillift/blfollow/follower.go
+++ b/basillift/blfollow/follower.go
@@ -95,6 +95,13 @@
 	return f.state.Seen()
 }
 
+// Answered is when the registry answered last.
+func (f *Follower) Answered() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.state.answered
+}
+
 // Hear implements basillift.Freshness.
 func (f *Follower) Hear(revision uint64) {
 	f.mutex.Lock()
--- a/basilliftd/routed.go
+++ b/basilliftd/routed.go
@@ -115,21 +115,33 @@
 // feed decides whether the daemon reads the registry, also for others, or follows other daemons.
 func (r *routed) feed(registry basillift.Registry, rnd *rand.Rand) {
 	if !thinLink(r.settings) {
+		r.follower = blfollow.New(registry, r, rnd)
 		r.shelf = blfeed.NewShelf()
-		r.courier.Feed(r.shelf)
-	} else {
-		readers := blfeed.NewReaders(r.settings.Addresses().Mesh())
-		neighbors := func() []basillift.Neighbor { return r.fleet.Neighbors(r.settings.Place().FailureDomain()) }
-		source := blfeed.NewSource(registry, r.courier, readers, r.tables, neighbors)
-		source.Notify(r.readerChanged)
-		registry = source
-		r.courier.Feed(readers)
-	}
-	r.follower = blfollow.New(registry, r, rnd)
-	if r.shelf != nil {
+		r.shelf.Trust(r.follower.Answered)
 		r.follower.WhenFollowed(r.shelf.Followed)
+		r.courier.Feed(r.shelf)
+		r.courier.Follow(r.follower)
+		return
 	}
-	r.courier.Follow(r.follower)
+	readers := blfeed.NewReaders(r.settings.Addresses().Mesh())
+	neighbors := func() []basillift.Neighbor { return r.fleet.Neighbors(r.settings.Place().FailureDomain()) }
+	source := blfeed.NewSource(registry, r.courier, readers, r.tables, neighbors)
+	source.Notify(r.readerChanged)
+	r.follower = blfollow.New(source, r, rnd)
+	r.courier.Feed(readers)
+	r.courier.Follow(hearsay{r.follower, source})
+}
+
+// hearsay tells both the follower and the source what other daemons have seen.
+type hearsay struct {
+	*blfollow.Follower
+	source *blfeed.Source
+}
+
+// Hear implements basillift.Freshness.
+func (h hearsay) Hear(revision uint64) {
+	h.source.Hear(revision)
+	h.Follower.Hear(revision)
 }
 
 // run serves until ctx ends or a part fails, and then stops in order.
