blfeed: a change that a listing of several pages missed reaches followers

Cause, found on the last read: a shelf counted all changes up to the newest entry of a listing as held, and skipped entries that the registry told again. Change: after a listing, changes count as held up to the first page's revision; entries told again are news. With one page, nothing differs. Figures: the new test failed before (22 != 20) and passes.

--- a/basillift/blfeed/shelf.go
+++ b/basillift/blfeed/shelf.go
@@ -88,7 +88,8 @@
 	s.changes, s.away = nil, false
 	for _, p := range all {
 		s.entries[p.Key()] = entry{p, now}
-		s.see(p.Revision())
+		// Entries of later pages may be newer than a change which the listing missed; the registry tells both again.
+		s.see(min(p.Revision(), revision))
 	}
 	s.complete, s.known = revision, max(s.known, revision)
 	s.wake()
@@ -98,7 +99,7 @@
 func (s *Shelf) Apply(now time.Time, p basillift.Publication) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if p.Revision() <= s.entries[p.Key()].publication.Revision() {
+	if p.Revision() < s.entries[p.Key()].publication.Revision() {
 		return
 	}
 	s.entries[p.Key()] = entry{p, now}
--- a/basillift/blfeed/shelf_test.go
+++ b/basillift/blfeed/shelf_test.go
@@ -105,6 +105,18 @@
 		assertReply(t, newTestShelf(t), basillift.NewFeedAsk(2, hangGuard).Since(20, 12), basillift.FeedBehind)
 		assertReply(t, newTestShelf(t), since(30, 12), basillift.FeedUnchanged)
 	})
+	t.Run("an entry on a later page than a change that the listing missed", func(t *testing.T) {
+		s := NewShelf()
+		s.Adopt(basillift.NewPublication("table", 10), table(t, 1))
+		// The first page is as of 20; y was read after x had been removed at 21.
+		s.Replace(start, 20, []basillift.Publication{entryOf("x", 11), entryOf("y", 22)})
+		r := s.Answer(context.Background(), basillift.NewFeedAsk(1, 0))
+		is.New(t).Equal(r.Revision(), uint64(20))
+		s.Apply(start, removal("x", 21))
+		s.Apply(start, entryOf("y", 22))
+		assertReply(t, s, since(20, 12), basillift.FeedNews, "x@21 gone", "y@22")
+		assertReply(t, s, since(21, 21), basillift.FeedNews, "y@22")
+	})
 	t.Run("an older change", func(t *testing.T) {
 		s := newTestShelf(t)
 		s.Apply(start, entryOf("x", 9))
