blpool, blfleet: remove fields that nothing reads; names and comments in blfeed and blcourier

Conn.Reused and Target.Since had no reader. feedWait stood in two packages with two meanings; the one in blcourier is feedWaitMost now. No behaviour change.

--- a/basillift/blcourier/feed.go
+++ b/basillift/blcourier/feed.go
@@ -24,8 +24,8 @@
 	wholeTransfer   = 1500 * time.Millisecond
 )
 
-// feedWait bounds how long a daemon waits for news on behalf of another one.
-const feedWait = 30 * time.Second
+// feedWaitMost bounds how long a daemon waits for news on behalf of another one.
+const feedWaitMost = 30 * time.Second
 
 // feedBytes bounds what follows the first part of a table; the registry's own limit is 1 MB in base64.
 const feedBytes = 8 << 20
@@ -70,7 +70,7 @@
 		}
 		numbers[i] = n
 	}
-	wait := min(time.Duration(numbers[3])*time.Microsecond, feedWait)
+	wait := min(time.Duration(numbers[3])*time.Microsecond, feedWaitMost)
 	return basillift.NewFeedAsk(numbers[0], wait).Since(numbers[1], numbers[2]), true
 }
 
--- a/basillift/blfeed/readers.go
+++ b/basillift/blfeed/readers.go
@@ -37,9 +37,8 @@
 	until    time.Time
 }
 
-// Readers decides which daemon to ask for news: a known reader, one of the
-// own failure domain before others, and a daemon of which nothing is known if there
-// is none. Each follower prefers other readers, so that they share the followers. It
+// Readers decides which daemon to ask for news: a known reader, one of the own
+// failure domain before others, or daemons that may be readers. Each follower prefers other readers, so that they share the followers. It
 // also implements basillift.Feed for a follower: it names the readers that it knows.
 // It is safe for concurrent use.
 type Readers struct {
--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -25,7 +25,6 @@
 type Target struct {
 	endpoint  basillift.Endpoint
 	warmUntil time.Time
-	since     time.Time
 }
 
 // Endpoint is what the target says of itself.
@@ -34,9 +33,6 @@
 // WarmUntil is when the target stops being slow after its start.
 func (t *Target) WarmUntil() time.Time { return t.warmUntil }
 
-// Since is when this daemon learned of the target.
-func (t *Target) Since() time.Time { return t.since }
-
 // record is what is known of one key.
 type record struct {
 	target   *Target
@@ -172,9 +168,8 @@
 	if held != nil && e.OlderThan(held.target.endpoint) {
 		return false
 	}
-	r := &record{revision: p.Revision(), target: &Target{endpoint: e, since: now, warmUntil: now.Add(e.Warmup())}}
+	r := &record{revision: p.Revision(), target: &Target{endpoint: e, warmUntil: now.Add(e.Warmup())}}
 	if held != nil && held.target.endpoint.Born().Equal(e.Born()) {
-		r.target.since = held.target.since
 		r.target.warmUntil = earlier(held.target.warmUntil, r.target.warmUntil)
 	}
 	if !e.State().Willing() {
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -30,7 +30,6 @@
 	idleSince time.Time
 	// idleFor bounds how long the connection may stay idle; the server can shorten it.
 	idleFor time.Duration
-	reused  bool
 }
 
 func newConn(raw net.Conn, l Limits) (*Conn, error) {
@@ -121,9 +120,6 @@
 // Written counts the bytes of the current call that the kernel accepted.
 func (c *Conn) Written() int64 { return c.written }
 
-// Reused reports whether an earlier call used the connection.
-func (c *Conn) Reused() bool { return c.reused }
-
 // ShortenIdle lowers how long the connection may stay idle, as the server has announced.
 func (c *Conn) ShortenIdle(d time.Duration) { c.idleFor = min(c.idleFor, d) }
 
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -64,7 +64,6 @@
 			break
 		}
 		if now.Sub(c.idleSince) < c.idleFor && c.Usable() {
-			c.reused = true
 			return c, nil
 		}
 		p.Discard(c)
