blcourier: large bodies ask before they cross to another failure domain

Permits existed, but for thin links only.

Change: a permit is asked for before a large body goes to another failure domain too. Where the link is fast the daemon beside the target keeps the slot for the body (300 ms at most), so that a permitted body runs.

--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -275,12 +275,14 @@
 	return a, e
 }
 
-// needsPermit reports whether a request has a large body for a VM with a thin link.
+// needsPermit reports whether a request has a large body that must not be sent in vain: to a VM with a thin link,
+// or to another failure domain, where bytes are dear.
 func (s *callerSide) needsPermit(j *journey, t *blfleet.Target) bool {
 	if j.request.whole() && len(j.request.body) < blplace.LargeBytes {
 		return false
 	}
-	return s.courier.placer.ThinLink(t.Endpoint().Instance())
+	e := t.Endpoint()
+	return e.Domain() != s.courier.settings.domain || s.courier.placer.ThinLink(e.Instance())
 }
 
 // permitted asks whether the body may come to a target, and returns the ending of the attempt if not.
--- a/basillift/blcourier/desk.go
+++ b/basillift/blcourier/desk.go
@@ -15,9 +15,13 @@
 // downPause is how long requests are refused after the target refused a connection.
 const downPause = 100 * time.Millisecond
 
+// bodyWithin is how long a slot is kept for a large body that was told to come from another daemon: some round
+// trips, and one packet that is lost and sent again.
+const bodyWithin = 300 * time.Millisecond
+
 // desk is the goal queue of the VM's own target.
 type desk struct {
-	gate
+	permits
 	origins   *bladmit.Origins
 	downUntil time.Time
 	// absent is the instance that the target was asked for last and is not.
@@ -26,11 +30,15 @@
 }
 
 func newDesk() *desk {
-	return &desk{gate: newGate(defaultSlots), origins: bladmit.NewOrigins()}
+	return &desk{permits: newPermits(defaultSlots, bodyWithin), origins: bladmit.NewOrigins()}
 }
 
-// enter waits for a slot. It returns the id of the slot, or why the request did not get one.
-func (d *desk) enter(ctx context.Context, now time.Time, h hop) (id uint64, refusal *answer) {
+// enter takes the slot that is kept for a request, or waits for one. It returns the id of the slot, or why the
+// request did not get one.
+func (d *desk) enter(ctx context.Context, now time.Time, request string, h hop) (id uint64, refusal *answer) {
+	if slot, kept := d.claim(request); kept {
+		return slot, nil
+	}
 	return d.gate.enter(ctx, now, d.arrive(now, h))
 }
 
--- a/basillift/blcourier/link.go
+++ b/basillift/blcourier/link.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"basillift.dev/basillift"
-	"basillift.dev/basillift/bladmit"
 )
 
 const (
@@ -21,47 +20,19 @@
 
 // link lets large bodies come over the VM's thin link one after the other. Without that, some of them at the
 // same time hold up all other requests for longer than those take.
-type link struct {
-	gate
-	// transfers holds the permits by the id of the request.
-	transfers map[string]transfer
-}
-
-// transfer is a permitted body on its way.
-type transfer struct {
-	slot   uint64
-	expiry *time.Timer
-}
+type link struct{ permits }
 
-func newLink() *link {
-	return &link{gate: newGate(transfersAtOnce), transfers: make(map[string]transfer)}
-}
+func newLink() *link { return &link{permits: newPermits(transfersAtOnce, transferMost)} }
 
 // permit waits until the body of a request may come. Lasts is how long the request will run behind that.
 func (l *link) permit(ctx context.Context, now time.Time, request string, h hop, lasts time.Duration) (refusal *answer) {
 	arrival := h
 	arrival.goal, arrival.deadline = h.goal.Add(-lasts), h.deadline.Add(-lasts)
-	slot, refusal := l.enter(ctx, now, func(id uint64) bladmit.Offer { return arrival.offer(id) })
-	if refusal != nil {
-		return refusal
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.transfers[request] = transfer{slot: slot, expiry: time.AfterFunc(transferMost, func() { l.arrived(time.Now(), request, false) })}
-	return nil
+	return l.reserve(ctx, now, request, arrival.offer)
 }
 
 // arrived ends a transfer. Observed is false if the body did not come.
-func (l *link) arrived(now time.Time, request string, observed bool) {
-	l.mutex.Lock()
-	t, permitted := l.transfers[request]
-	delete(l.transfers, request)
-	l.mutex.Unlock()
-	if permitted {
-		t.expiry.Stop()
-		l.leave(now, t.slot, observed)
-	}
-}
+func (l *link) arrived(now time.Time, request string, observed bool) { l.release(now, request, observed) }
 
 // received notes that a request came whose body may have had a permit. The returned function is called when the
 // request has ended.
@@ -81,14 +52,24 @@
 	return l.queue.Backlog()
 }
 
-// permit answers a daemon that asks whether a large body may come.
+// permit answers a daemon that asks whether a large body may come. Behind a thin link the body comes first and
+// waits here for a slot; otherwise the slot is kept for it.
 func (t *targetSide) permit(ctx context.Context, r *request, h hop) *answer {
 	c := t.courier
+	now := time.Now()
+	h.caller = r.header(c.settings.dialect.Caller())
+	refusal := t.unable(now, h)
+	id := r.header(c.settings.dialect.RequestID())
+	switch {
+	case refusal != nil:
+	case c.link != nil:
+		refusal = c.link.permit(ctx, now, id, h, c.desk.lasts(h))
+	default:
+		refusal = c.desk.reserve(ctx, now, id, c.desk.arrive(now, h))
+	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
-	if c.link != nil {
-		if refusal := c.link.permit(ctx, time.Now(), r.header(c.settings.dialect.RequestID()), h, c.desk.lasts(h)); refusal != nil {
-			a = refusal
-		}
+	if refusal != nil {
+		a = refusal
 	}
 	a.load = t.load()
 	return a
@@ -104,7 +85,7 @@
 	return l
 }
 
-// askPermit asks the daemon beside a target whose link may be thin whether a large body may come. Nil means that it may.
+// askPermit asks the daemon beside a target whether a large body may come. Nil means that it may.
 func (s *callerSide) askPermit(ctx context.Context, j *journey, daemon string) (refusal *answer, err error) {
 	c := s.courier
 	now := time.Now()
@@ -131,6 +112,7 @@
 	b := append([]byte("GET / HTTP/1.1\r\nHost: "), daemon...)
 	b = append(b, "\r\n"...)
 	b = appendField(b, d.RequestID(), j.request.header(d.RequestID()))
+	b = appendField(b, d.Caller(), s.courier.settings.service)
 	b = appendField(b, headerPermit, "1")
 	b = appendField(b, headerHop, told.format(now))
 	return append(b, "\r\n"...)
--- a/basillift/blcourier/link_test.go
+++ b/basillift/blcourier/link_test.go
@@ -19,11 +19,11 @@
 	return hop{lane: "upload", objective: goal, goal: now.Add(goal), deadline: now.Add(goal)}
 }
 
-// permits is the number of bodies that are on their way.
-func permits(l *link) int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return len(l.transfers)
+// count is the number of bodies that are on their way.
+func (p *permits) count() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.kept)
 }
 
 // Guards against large bodies that come over a thin link at the same time and hold up everything else.
@@ -42,7 +42,7 @@
 		is.Equal(len(second), 0)
 		l.arrived(now.Add(100*time.Millisecond), "first", true)
 		is.True(<-second == nil)
-		is.Equal(permits(l), 1)
+		is.Equal(l.count(), 1)
 	})
 	t.Run("a body that cannot be in time is refused at once", func(t *testing.T) {
 		is := is.New(t)
@@ -88,7 +88,7 @@
 		c.assertAnswer(200, "")
 		c.send(post("p1", body))
 		c.assertAnswer(200, "/post/x "+body)
-		is.Equal(permits(l), 0)
+		is.Equal(l.count(), 0)
 		is.True(l.load().Hold() > 0)
 	})
 	t.Run("streamed body", func(t *testing.T) {
@@ -96,7 +96,7 @@
 		c.send(post("p4", strings.Repeat("s", 2*wholeBytes)))
 		c.assertAnswer(200, "")
 		is.Equal(f.count("p4"), 1)
-		is.Equal(permits(l), 0)
+		is.Equal(l.count(), 0)
 		is.Equal(l.load().Running(), 0)
 	})
 	t.Run("nothing is known of the link", func(t *testing.T) {
--- /dev/null
+++ b/basillift/blcourier/permits_test.go
@@ -0,0 +1,82 @@
+package blcourier
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blplace"
+)
+
+// refuse answers as a daemon without room does, on a VM whose link is fast.
+func refuse(w net.Conn, _ *http.Request, _ []byte) bool {
+	a := notRun(basillift.ReasonOverload, time.Second)
+	load := formatLoad(basillift.NewLoad(4, 9, 4, time.Second))
+	_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		headerHop, a.formatOutcome(), headerLoad, load)
+	return err == nil
+}
+
+// Guards against a large body that crosses to another failure domain only to be refused there.
+func TestLargeBodyAsksFirst(t *testing.T) {
+	is := is.New(t)
+	m := startMesh(t, startTarget(t, answerOK))
+	far := startTarget(t, refuse)
+	address := far.listener.Addr().String()
+	e := basillift.NewEndpoint("far", "catalogue", "10.0.0.1:80", "b", 4, basillift.TargetReady).WithDaemon(address)
+	m.fleet.Apply(time.Now(), removalOf("t0", 100))
+	m.fleet.Apply(time.Now(), basillift.NewPublication("t9", 101).WithEndpoint(e))
+	c := m.dial(t, 0)
+	c.send(post("p1", "small"))
+	c.assertAnswer(503, "")
+	_, body := far.last(t)
+	is.Equal(body, "small")
+	c.send(post("p2", strings.Repeat("b", blplace.LargeBytes)))
+	c.assertAnswer(503, "")
+	head, body := far.last(t)
+	is.Equal(len(body), 0)
+	is.True(strings.Contains(head, headerPermit))
+}
+
+// Guards against a body that finds no slot although it was told to come, and a slot that stays taken when none comes.
+func TestSlotIsKeptForBody(t *testing.T) {
+	ctx, now := context.Background(), time.Now()
+	keep := func(t *testing.T, d *desk, id string) {
+		t.Helper()
+		is.New(t).True(d.reserve(ctx, now, id, uploadHop(now, hangGuard).offer) == nil)
+	}
+	t.Run("the body takes its slot", func(t *testing.T) {
+		is := is.New(t)
+		d := newDesk()
+		for i := range defaultSlots {
+			keep(t, d, fmt.Sprintf("p%d", i))
+		}
+		is.Equal(d.load().Running(), defaultSlots)
+		_, refusal := d.enter(ctx, now, "p2", uploadHop(now, hangGuard))
+		is.True(refusal == nil)
+		is.Equal(d.load().Running(), defaultSlots)
+		is.Equal(d.count(), defaultSlots-1)
+	})
+	t.Run("a body that does not come frees its slot", func(t *testing.T) {
+		is := is.New(t)
+		d := newDesk()
+		keep(t, d, "lost")
+		d.release(now, "lost", false)
+		d.release(now, "lost", false)
+		is.Equal(d.load().Running(), 0)
+	})
+	t.Run("the same request keeps one slot", func(t *testing.T) {
+		is := is.New(t)
+		d := newDesk()
+		keep(t, d, "twice")
+		keep(t, d, "twice")
+		is.Equal(d.load().Running(), 1)
+	})
+}
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -80,17 +80,10 @@
 func (t *targetSide) admit(ctx context.Context, r *request, h hop) *answer {
 	c := t.courier
 	now := time.Now()
-	if c.closing.Load() {
-		return notRun(basillift.ReasonDraining, 0)
-	}
-	_, leaving, known := c.fleet.At(c.settings.target)
-	if known && !leaving.IsZero() && now.Sub(leaving) > time.Duration(c.leaving.Load())-leaveMargin {
-		return notRun(basillift.ReasonDraining, 0)
-	}
-	if c.desk.lacks(now, h.instance) {
-		return notRun(basillift.ReasonNoTarget, 0)
+	if refusal := t.unable(now, h); refusal != nil {
+		return refusal
 	}
-	id, refusal := c.desk.enter(ctx, now, h)
+	id, refusal := c.desk.enter(ctx, now, r.header(c.settings.dialect.RequestID()), h)
 	if refusal != nil {
 		return refusal
 	}
@@ -108,6 +101,22 @@
 	return a
 }
 
+// unable is the refusal of a request that cannot run here, whatever the load; nil if it can.
+func (t *targetSide) unable(now time.Time, h hop) (refusal *answer) {
+	c := t.courier
+	if c.closing.Load() {
+		return notRun(basillift.ReasonDraining, 0)
+	}
+	_, leaving, known := c.fleet.At(c.settings.target)
+	if known && !leaving.IsZero() && now.Sub(leaving) > time.Duration(c.leaving.Load())-leaveMargin {
+		return notRun(basillift.ReasonDraining, 0)
+	}
+	if c.desk.lacks(now, h.instance) {
+		return notRun(basillift.ReasonNoTarget, 0)
+	}
+	return nil
+}
+
 // ask passes a request to the target. Observed tells that it ran to its end.
 func (t *targetSide) ask(ctx context.Context, r *request, h hop) (a *answer, observed bool) {
 	c := t.courier
