blcourier: a connection is not reset under a body that nobody reads; a stalled body holds no slot

Cause, by reading: after an answer that comes before the end of the body the daemon closed the connection with unread bytes, which resets it, so a caller that still sends fails and may lose the answer.

Change: such a connection is read on for up to a second before it is closed. The stricter test for it found a second fault: when a route's time was over while the caller's body had stalled, the final answer waited for the next bytes of the body, and so did the slot of the target (failed first: 30 s until the test's guard). The read is ended now.

--- a/basillift/blcourier/exchange.go
+++ b/basillift/blcourier/exchange.go
@@ -206,8 +206,12 @@
 		return
 	}
 	x.pool.Discard(x.conn)
-	if x.sender != nil {
-		// The body belongs to the caller's connection again once this returns.
-		<-x.sender.done
+	if x.sender == nil {
+		return
+	}
+	if x.request.rest != nil {
+		x.request.rest.interrupt()
 	}
+	// The body belongs to the caller's connection again once this returns.
+	<-x.sender.done
 }
--- a/basillift/blcourier/path_test.go
+++ b/basillift/blcourier/path_test.go
@@ -214,6 +214,15 @@
 		c := startMesh(t, f).dial(t, 0)
 		c.send(post("1", strings.Repeat("x", 3<<20)))
 		c.assertAnswer(http.StatusBadRequest, "no")
+		// The connection is not reset under the rest of the body.
+		text := post("1", strings.Repeat("x", 3<<20))
+		again := startMesh(t, startTarget(t, answerOK))
+		again.publish(t, 2, time.Millisecond)
+		c = again.dial(t, 0)
+		c.send(text[:1<<20])
+		answered := c.read()
+		is.New(t).NoErr(answered.err)
+		c.send(text[1<<20:])
 	})
 }
 
--- a/basillift/blcourier/request.go
+++ b/basillift/blcourier/request.go
@@ -43,6 +43,8 @@
 type rest struct {
 	reader io.Reader
 	done   chan struct{}
+	// interrupt ends a read that waits for the other side.
+	interrupt func()
 	err    error
 	ended  bool
 }
--- a/basillift/blcourier/session.go
+++ b/basillift/blcourier/session.go
@@ -17,6 +17,9 @@
 	"basillift.dev/basillift/blpool"
 )
 
+// lingerTime bounds how long the rest of a body is read that nobody needs; callers close once they have their answer.
+const lingerTime = time.Second
+
 // terms bound what the other side of a connection may send.
 type terms struct {
 	headerBytes   int
@@ -42,6 +45,8 @@
 	cancel  context.CancelFunc
 	turns   chan *turn
 	owner   *server
+	// unread is set by the reader when it stopped before the end of a body.
+	unread bool
 
 	mutex   sync.Mutex
 	pending int
@@ -79,9 +84,22 @@
 	close(s.turns)
 	<-written
 	s.owner.forget(s)
+	s.linger(time.Now())
 	_ = s.conn.Close()
 }
 
+// linger reads on for a while if a body was not read to its end: closing the connection at once would reset it, and
+// the other side could lose the answer while it still sends.
+func (s *session) linger(now time.Time) {
+	t, ok := s.conn.(*net.TCPConn)
+	if !ok || !s.unread {
+		return
+	}
+	_ = t.CloseWrite()
+	_ = t.SetReadDeadline(now.Add(lingerTime))
+	_, _ = io.Copy(io.Discard, t)
+}
+
 // read starts a turn for each request, and reports whether the other side is gone.
 func (s *session) read(ctx context.Context) (gone bool) {
 	var header fasthttp.RequestHeader
@@ -107,6 +125,9 @@
 			}
 			return true
 		}
+		if r.rest != nil {
+			r.rest.interrupt = s.wake
+		}
 		if !s.start(ctx, r) {
 			return false
 		}
@@ -170,6 +191,7 @@
 		// The rest of the body stands before the next request.
 		<-r.rest.done
 		if r.rest.err == nil || !errors.Is(r.rest.err, io.EOF) {
+			s.unread = true
 			return false
 		}
 	}
@@ -200,6 +222,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	}
+	s.unread = true
 	t := &turn{request: &request{}, answer: make(chan *answer, 1), last: true}
 	t.answer <- rejected(status, basillift.ReasonBadRequest)
 	s.turns <- t
@@ -257,7 +280,7 @@
 	}
 }
 
-// wake ends the wait for another request.
+// wake ends the wait for another request or for more of a body.
 func (s *session) wake() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // abandon ends a session whose answer is incomplete. The reset tells the other
