bladmit: calls stand back for more urgent requests that find less room than their parents

Change: the daemon beside the calling target tells which of its running requests has most likely made a call (bladmit.Lineage: expectation maximization over what runs, as nothing in a call names its parent). Callers' daemons tell how much of a route found room lately. At the target a call goes first, as before, unless something more urgent than its parent finds clearly less room than the parent does and takes less of the target than the calls (bladmit.Shares); then it has its parent's rank. Calls of calls inherit along the chain.

--- a/basillift/bladmit/goalqueue.go
+++ b/basillift/bladmit/goalqueue.go
@@ -21,6 +21,8 @@
 	// freeShare is the share of its goal that a request may wait wherever the goal cannot be kept: so little
 	// is of no consequence to a caller that has to come back.
 	freeShare = 0.125
+	// RankFirst goes before all ranks that operators give.
+	RankFirst = -1
 	// lanesMost bounds how many lanes have a mean of their own.
 	lanesMost = 4096
 )
@@ -53,7 +55,7 @@
 }
 
 // WithNested marks a call that a target makes while it runs a request: it goes before
-// all others and waits as long as its answer is of use.
+// all others of its rank and waits as long as its answer is of use.
 func (o Offer) WithNested(nested bool) Offer {
 	o.nested = nested
 	return o
@@ -91,8 +93,8 @@
 
 // GoalQueue admits requests to one target whose slots are known exactly. It is made
 // for overload: a request waits only if it is expected to keep its goal, and is refused at once
-// otherwise, so that it can go elsewhere while there is time. Calls of targets go first, then better
-// ranks, and within a rank the request whose goal is next. It is not safe for concurrent use.
+// otherwise, so that it can go elsewhere while there is time. Better ranks go first, within a rank the calls
+// of targets, and then the request whose goal is next. It is not safe for concurrent use.
 type GoalQueue struct {
 	slots   int
 	running map[uint64]*ticket
@@ -227,17 +229,17 @@
 	}
 }
 
-// before orders waiting tickets: calls of targets, then by rank, late ones last, then by goal.
+// before orders waiting tickets: by rank, calls of targets first, late ones last, then by goal.
 func before(a, b *ticket) int {
+	if c := cmp.Compare(a.offer.rank, b.offer.rank); c != 0 {
+		return c
+	}
 	if a.offer.nested != b.offer.nested {
 		if a.offer.nested {
 			return -1
 		}
 		return 1
 	}
-	if c := cmp.Compare(a.offer.rank, b.offer.rank); c != 0 {
-		return c
-	}
 	if a.offer.late != b.offer.late {
 		if b.offer.late {
 			return -1
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -72,6 +72,7 @@
 	c.allowance.Requested(r.arrived, j.service, c.fleet.Machines())
 	a := s.travel(ctx, j)
 	now := time.Now()
+	c.outcomes.observe(route.Name(), a.outcome != basillift.OutcomeNotRun || a.reason != basillift.ReasonOverload)
 	c.counters.ended(now, j, a)
 	c.trail.ended(now, r.header(c.settings.dialect.RequestID()), table.Version(), j, a)
 	return a
@@ -115,10 +116,12 @@
 	if objective == 0 {
 		objective = timeout
 	}
+	share := s.courier.outcomes.share(route.Name())
 	return &journey{
 		request: r, route: route, service: s.courier.dealer.Deal(route),
 		hop: hop{
 			lane: route.Name(), rank: route.Priority(), repeatable: route.Kind().Repeatable(), objective: objective,
+			served: share, parent: s.courier.desk.parent(route.Name(), share),
 			goal: r.arrived.Add(objective - waited), deadline: r.arrived.Add(timeout),
 		},
 	}
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -49,6 +49,7 @@
 	// link is nil unless the VM's link is thin.
 	link     *link
 	sizes    *sizes
+	outcomes *outcomes
 	patience *bladmit.Patience
 	trail    *trail
 	counters *counters
@@ -76,7 +77,7 @@
 	c := &Courier{
 		settings: s, tables: tables, fleet: fleet,
 		dealer: bltable.NewDealer(rnd), placer: blplace.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), patience: bladmit.NewPatience(), trail: newTrail(log),
+		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), outcomes: newOutcomes(), patience: bladmit.NewPatience(), trail: newTrail(log),
 	}
 	c.leaving.Store(int64(s.leaving))
 	c.feeding, c.endFeeding = context.WithCancel(context.Background())
--- a/basillift/blcourier/desk.go
+++ b/basillift/blcourier/desk.go
@@ -12,6 +12,9 @@
 // target may start under the same name again, which takes some seconds.
 const absentFor = 2 * time.Second
 
+// noParent is the parent's rank of a request that no target has made.
+const noParent = -1
+
 // downPause is how long requests are refused after the target refused a connection.
 const downPause = 100 * time.Millisecond
 
@@ -22,7 +25,10 @@
 // desk is the goal queue of the VM's own target.
 type desk struct {
 	permits
-	origins   *bladmit.Origins
+	origins *bladmit.Origins
+	lineage *bladmit.Lineage
+	// shares is what callers tell of the lanes that come here.
+	shares    *bladmit.Shares
 	downUntil time.Time
 	// absent is the instance that the target was asked for last and is not.
 	absent      string
@@ -30,7 +36,7 @@
 }
 
 func newDesk() *desk {
-	return &desk{permits: newPermits(defaultSlots, bodyWithin), origins: bladmit.NewOrigins()}
+	return &desk{permits: newPermits(defaultSlots, bodyWithin), origins: bladmit.NewOrigins(), lineage: bladmit.NewLineage(), shares: bladmit.NewShares()}
 }
 
 // enter takes the slot that is kept for a request, or waits for one. It returns the id of the slot, or why the
@@ -39,11 +45,13 @@
 	if slot, kept := d.claim(request); kept {
 		return slot, nil
 	}
-	return d.gate.enter(ctx, now, d.arrive(now, h))
+	return d.gate.enter(ctx, now, h.offer)
 }
 
-// arrive is what to ask the queue for a request.
-func (d *desk) arrive(now time.Time, h hop) func(id uint64) bladmit.Offer {
+// arrived notes a request and returns it with what is known of its lane. A call that another target makes goes before
+// all requests, because its parent holds a slot, unless something more urgent than its parent is served less. Calls that
+// take less of the target than what is more urgent are not in its way.
+func (d *desk) arrived(now time.Time, h hop) hop {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if !d.downUntil.IsZero() && !now.Before(d.downUntil) {
@@ -51,8 +59,46 @@
 		d.queue.Close(basillift.ReasonNone)
 	}
 	d.origins.Observe(h.lane, h.caller)
-	nested := d.origins.Nested(h.lane)
-	return func(id uint64) bladmit.Offer { return h.offer(id).WithNested(nested) }
+	h.nested = d.origins.Nested(h.lane)
+	if !h.nested {
+		d.shares.Observe(now, h.lane, h.rank, h.served)
+		return h
+	}
+	if h.parent.rank == noParent {
+		h.first = true
+		return h
+	}
+	h.rank = h.parent.rank
+	h.first = !d.shares.Yields(now, h.parent.rank, h.parent.served, func(lane string) bool {
+		return d.lineage.Held(lane) < d.lineage.Held(h.lane)
+	})
+	return h
+}
+
+// started notes that the target runs a request.
+func (d *desk) started(h hop) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.lineage.Started(h.lane, h.rank)
+}
+
+// ended notes that the target has run a request for a time.
+func (d *desk) ended(h hop, ran time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.lineage.Ended(h.lane, ran)
+}
+
+// parent describes the request at the own target that has most likely made a call, of whose lane a share finds room. A
+// parent is served if it finds room itself and its call does.
+func (d *desk) parent(lane string, share float64) parent {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	name, rank, known := d.lineage.Parent(lane)
+	if !known {
+		return parent{rank: noParent}
+	}
+	return parent{rank: rank, served: d.shares.Served(name) * share}
 }
 
 // lasts is for how long a request will hold a slot at most, as a rule.
@@ -64,7 +110,11 @@
 
 // offer is a request as the queue sees it.
 func (h hop) offer(id uint64) bladmit.Offer {
-	return bladmit.NewOffer(id, h.lane, h.rank, h.goal, h.deadline).WithObjective(h.objective)
+	rank := h.rank
+	if h.first {
+		rank = bladmit.RankFirst
+	}
+	return bladmit.NewOffer(id, h.lane, rank, h.goal, h.deadline).WithObjective(h.objective).WithNested(h.nested)
 }
 
 // down refuses requests for a moment: the target takes no connections.
--- a/basillift/blcourier/headers.go
+++ b/basillift/blcourier/headers.go
@@ -35,8 +35,10 @@
 
 func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
+func percent(share float64) string { return strconv.Itoa(int(100 * share)) }
+
 // hopFields is the number of values in a hop header of a request.
-const hopFields = 8
+const hopFields = 11
 
 // format writes what the target side has to know; times are relative to now.
 func (h hop) format(now time.Time) string {
@@ -47,6 +49,7 @@
 	return strings.Join([]string{
 		h.instance, h.lane, strconv.Itoa(h.rank), repeatable, microseconds(h.objective),
 		microseconds(h.goal.Sub(now)), microseconds(h.deadline.Sub(now)), strconv.FormatUint(h.seen, 10),
+		percent(h.served), strconv.Itoa(h.parent.rank), percent(h.parent.served),
 	}, " ")
 }
 
@@ -68,7 +71,8 @@
 	return hop{
 		instance: fields[0], lane: fields[1], rank: int(numbers[2]), repeatable: numbers[3] == 1,
 		objective: after(numbers[4]), goal: arrived.Add(after(numbers[5])), deadline: arrived.Add(after(numbers[6])),
-		seen: uint64(numbers[7]),
+		seen: uint64(numbers[7]), served: float64(numbers[8]) / 100,
+		parent: parent{rank: int(numbers[9]), served: float64(numbers[10]) / 100},
 	}, true
 }
 
--- a/basillift/blcourier/link.go
+++ b/basillift/blcourier/link.go
@@ -32,7 +32,9 @@
 }
 
 // arrived ends a transfer. Observed is false if the body did not come.
-func (l *link) arrived(now time.Time, request string, observed bool) { l.release(now, request, observed) }
+func (l *link) arrived(now time.Time, request string, observed bool) {
+	l.release(now, request, observed)
+}
 
 // received notes that a request came whose body may have had a permit. The returned function is called when the
 // request has ended.
@@ -65,7 +67,7 @@
 	case c.link != nil:
 		refusal = c.link.permit(ctx, now, id, h, c.desk.lasts(h))
 	default:
-		refusal = c.desk.reserve(ctx, now, id, c.desk.arrive(now, h))
+		refusal = c.desk.reserve(ctx, now, id, c.desk.arrived(now, h).offer)
 	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if refusal != nil {
--- a/basillift/blcourier/request.go
+++ b/basillift/blcourier/request.go
@@ -45,8 +45,8 @@
 	done   chan struct{}
 	// interrupt ends a read that waits for the other side.
 	interrupt func()
-	err    error
-	ended  bool
+	err       error
+	ended     bool
 }
 
 // end tells the reader of the connection that nobody reads the body any more.
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -22,17 +22,30 @@
 type hop struct {
 	instance string
 	// caller is the service of the VM at which the request began.
-	caller     string
-	lane       string
-	rank       int
-	repeatable bool
-	objective  time.Duration
-	goal       time.Time
-	deadline   time.Time
+	caller string
+	lane   string
+	rank   int
+	// served is how much of its lane was served to its caller lately, from 0 to 1.
+	served float64
+	// parent describes the request that has made this one, if a target did.
+	parent parent
+	// nested and first are set at the target side: for calls that targets make, and those that go before all else.
+	nested, first bool
+	repeatable    bool
+	objective     time.Duration
+	goal          time.Time
+	deadline      time.Time
 	// seen is the newest revision of the registry that the caller side has seen.
 	seen uint64
 }
 
+// parent is what a target's daemon tells of the request that has most likely made a call.
+type parent struct {
+	// rank is noParent if the target ran nothing.
+	rank   int
+	served float64
+}
+
 // targetSide runs requests at the VM's own target.
 type targetSide struct{ courier *Courier }
 
@@ -83,12 +96,16 @@
 	if refusal := t.unable(now, h); refusal != nil {
 		return refusal
 	}
+	h = c.desk.arrived(now, h)
 	id, refusal := c.desk.enter(ctx, now, r.header(c.settings.dialect.RequestID()), h)
 	if refusal != nil {
 		return refusal
 	}
-	c.counters.held.Update(time.Since(now).Seconds())
+	started := time.Now()
+	c.counters.held.Update(started.Sub(now).Seconds())
+	c.desk.started(h)
 	a, observed := t.ask(ctx, r, h)
+	c.desk.ended(h, time.Since(started))
 	if a.rest == nil {
 		c.desk.leave(time.Now(), id, observed)
 		return a
