blretry: the allowance of repeats holds for any number of daemons, and counts the calls of repeats

The answer of a target's daemon says whether a lane counts as calls. TestAllowance plays 13 and 1,200 daemons, slow and fast callers, restarts, bursts after savings and inherited repeats against the sliding windows of the rule.

--- a/basillift/bladmit/lineage.go
+++ b/basillift/bladmit/lineage.go
@@ -26,6 +26,8 @@
 type parentLane struct {
 	running int
 	rank    int
+	// repeats is how many of those that run are repeats.
+	repeats float64
 	held    float64
 }
 
@@ -34,8 +36,24 @@
 	return &Lineage{lanes: make(map[string]*parentLane), calls: make(map[string]map[string]float64)}
 }
 
-// Started notes that the target runs a request of a lane with a rank.
-func (l *Lineage) Started(lane string, rank int) {
+// Parent is what is known of the request that has made a call.
+type Parent struct {
+	lane   string
+	rank   int
+	repeat float64
+}
+
+// Lane is the lane of the parent.
+func (p Parent) Lane() string { return p.lane }
+
+// Rank is the rank of the parent.
+func (p Parent) Rank() int { return p.rank }
+
+// Repeat is how likely it is that the parent is a repeat, from 0 to 1.
+func (p Parent) Repeat() float64 { return p.repeat }
+
+// Started notes that the target runs a request of a lane with a rank. Repeat tells how likely it is that it is one.
+func (l *Lineage) Started(lane string, rank int, repeat float64) {
 	p := l.lanes[lane]
 	if p == nil {
 		if len(l.lanes) >= lanesMost {
@@ -46,15 +64,17 @@
 	}
 	p.running++
 	p.rank = rank
+	p.repeats += repeat
 }
 
-// Ended notes that a request of a lane has run for a time.
-func (l *Lineage) Ended(lane string, held time.Duration) {
+// Ended notes that a request that was Started has run for a time.
+func (l *Lineage) Ended(lane string, repeat float64, held time.Duration) {
 	p := l.lanes[lane]
 	if p == nil {
 		return
 	}
 	p.running = max(0, p.running-1)
+	p.repeats = max(0, p.repeats-repeat)
 	p.held += held.Seconds()
 	if l.held += held; l.held > lineageMemory {
 		l.forget()
@@ -69,19 +89,19 @@
 	return 0
 }
 
-// Parent is the lane and the rank of the request that has most likely made a call of a lane; false if none runs.
-func (l *Lineage) Parent(call string) (parent string, rank int, known bool) {
+// Parent is the request that has most likely made a call of a lane; false if none runs.
+func (l *Lineage) Parent(call string) (parent Parent, known bool) {
 	made := l.calls[call]
 	total, most := 0.0, 0.0
 	for lane, p := range l.lanes {
 		w := p.weight(made[lane])
 		total += w
-		if w > most || w == most && w > 0 && lane < parent {
-			parent, rank, most = lane, p.rank, w
+		if w > most || w == most && w > 0 && lane < parent.lane {
+			parent, most = Parent{lane: lane, rank: p.rank, repeat: min(1, p.repeats/float64(p.running))}, w
 		}
 	}
 	if total == 0 {
-		return "", 0, false
+		return Parent{}, false
 	}
 	if made == nil {
 		if len(l.calls) >= lanesMost {
@@ -95,7 +115,7 @@
 			made[lane] += w / total
 		}
 	}
-	return parent, rank, true
+	return parent, true
 }
 
 // weight is how likely it is that a request of the lane has made a call, if so many calls are put down to the lane.
--- a/basillift/bladmit/lineage_test.go
+++ b/basillift/bladmit/lineage_test.go
@@ -28,21 +28,21 @@
 		for i, p := range loads {
 			if rnd.Float64() < p.mean/hold*step {
 				running[i]++
-				l.Started(p.lane, p.rank)
+				l.Started(p.lane, p.rank, 0)
 			}
 			if rnd.Float64() < float64(running[i])/hold*step {
 				running[i]--
-				l.Ended(p.lane, 150*time.Millisecond)
+				l.Ended(p.lane, 0, 150*time.Millisecond)
 			}
 			if rnd.Float64() >= float64(running[i])*p.calls*step {
 				continue
 			}
-			_, got, known := l.Parent("call")
+			got, known := l.Parent("call")
 			if at < length/2 {
 				continue
 			}
 			calls++
-			if known && got == rank {
+			if known && got.Rank() == rank {
 				found++
 			}
 		}
@@ -65,19 +65,21 @@
 		assertFound(t, 1, parentLoad{"browse", 2, 4, 0}, parentLoad{"pay", 1, 2, 9})
 	})
 	t.Run("nothing runs", func(t *testing.T) {
-		_, _, known := NewLineage().Parent("call")
+		_, known := NewLineage().Parent("call")
 		is.New(t).True(!known)
 	})
 	t.Run("a lane that ended is no parent", func(t *testing.T) {
 		is := is.New(t)
 		l := NewLineage()
-		l.Started("a", 0)
-		l.Started("b", 2)
-		l.Ended("a", time.Second)
-		lane, rank, known := l.Parent("call")
+		l.Started("a", 0, 1)
+		l.Started("b", 2, 1)
+		l.Started("b", 2, 0)
+		l.Ended("a", 1, time.Second)
+		parent, known := l.Parent("call")
 		is.True(known)
-		is.Equal(lane, "b")
-		is.Equal(rank, 2)
+		is.Equal(parent.Lane(), "b")
+		is.Equal(parent.Rank(), 2)
+		is.Equal(parent.Repeat(), 0.5)
 	})
 }
 
--- a/basillift/blcourier/answer.go
+++ b/basillift/blcourier/answer.go
@@ -36,6 +36,8 @@
 	close bool
 	// seen is the newest revision of the registry that the target side has seen.
 	seen uint64
+	// nested is set by the target side if the request was a call of a target.
+	nested bool
 	// feed is the state of an answer to a daemon that asks for a newer routing table.
 	feed string
 	// silent is set when nothing came back from the daemon beside the target.
--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -44,6 +44,8 @@
 	tried   []string
 	soonest time.Duration
 	steps   []step
+	// nested is set if a target's daemon takes the request for a call of this VM's target.
+	nested bool
 }
 
 // serve implements handler for requests of callers.
@@ -69,10 +71,10 @@
 	j := s.begin(r, route)
 	ctx, cancel := context.WithDeadline(ctx, j.hop.deadline)
 	defer cancel()
-	c.allowance.Requested(r.arrived, j.service, c.fleet.Machines())
+	c.allowance.Requested(r.arrived, j.service, c.fleet.Machines(), j.hop.repeat)
 	a := s.travel(ctx, j)
 	now := time.Now()
-	c.outcomes.observe(route.Name(), a.outcome != basillift.OutcomeNotRun || a.reason != basillift.ReasonOverload)
+	c.outcomes.observe(route.Name(), a.outcome != basillift.OutcomeNotRun || a.reason != basillift.ReasonOverload, j.nested)
 	c.counters.ended(now, j, a)
 	c.trail.ended(now, r.header(c.settings.dialect.RequestID()), table.Version(), j, a)
 	return a
@@ -116,12 +118,16 @@
 	if objective == 0 {
 		objective = timeout
 	}
-	share := s.courier.outcomes.share(route.Name())
+	known := s.courier.outcomes.of(route.Name())
+	parent := parent{rank: noParent}
+	if known.nested {
+		parent = s.courier.desk.parent(route.Name(), known.room)
+	}
 	return &journey{
 		request: r, route: route, service: s.courier.dealer.Deal(route),
 		hop: hop{
 			lane: route.Name(), rank: route.Priority(), repeatable: route.Kind().Repeatable(), objective: objective,
-			served: share, parent: s.courier.desk.parent(route.Name(), share),
+			served: known.room, parent: parent, repeat: parent.repeat,
 			goal: r.arrived.Add(objective - waited), deadline: r.arrived.Add(timeout),
 		},
 	}
@@ -142,6 +148,7 @@
 			taken := c.allowance.Take(now, j.service, c.fleet.Machines())
 			if taken {
 				c.counters.repeats.Inc()
+				j.hop.repeat = 1
 			}
 			return taken
 		}
@@ -207,6 +214,7 @@
 	ended := time.Now()
 	c.placer.Ended(ended, target, ask, result(ctx, ending, a.silent), ended.Sub(now), a.load)
 	c.counters.attempt(ending)
+	j.nested = j.nested || a.nested
 	j.steps = append(j.steps, step{instance: instance, ending: ending, reason: a.reason, took: ended.Sub(now), news: news})
 	if ending == blretry.EndingAnswered {
 		c.sizes.observe(j.route.Name(), len(a.body))
--- a/basillift/blcourier/courier.go
+++ b/basillift/blcourier/courier.go
@@ -77,7 +77,7 @@
 	c := &Courier{
 		settings: s, tables: tables, fleet: fleet,
 		dealer: bltable.NewDealer(rnd), placer: blplace.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.ratio, s.fixed), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), outcomes: newOutcomes(), patience: bladmit.NewPatience(), trail: newTrail(log),
+		allowance: blretry.NewAllowance(s.ratio, s.fixed, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.limits), desk: newDesk(), sizes: newSizes(), outcomes: newOutcomes(), patience: bladmit.NewPatience(), trail: newTrail(log),
 	}
 	c.leaving.Store(int64(s.leaving))
 	c.feeding, c.endFeeding = context.WithCancel(context.Background())
--- a/basillift/blcourier/desk.go
+++ b/basillift/blcourier/desk.go
@@ -79,14 +79,14 @@
 func (d *desk) started(h hop) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.lineage.Started(h.lane, h.rank)
+	d.lineage.Started(h.lane, h.rank, h.repeat)
 }
 
 // ended notes that the target has run a request for a time.
 func (d *desk) ended(h hop, ran time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.lineage.Ended(h.lane, ran)
+	d.lineage.Ended(h.lane, h.repeat, ran)
 }
 
 // parent describes the request at the own target that has most likely made a call, of whose lane a share finds room. A
@@ -94,11 +94,11 @@
 func (d *desk) parent(lane string, share float64) parent {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	name, rank, known := d.lineage.Parent(lane)
+	likely, known := d.lineage.Parent(lane)
 	if !known {
 		return parent{rank: noParent}
 	}
-	return parent{rank: rank, served: d.shares.Served(name) * share}
+	return parent{rank: likely.Rank(), served: d.shares.Served(likely.Lane()) * share, repeat: likely.Repeat()}
 }
 
 // lasts is for how long a request will hold a slot at most, as a rule.
--- a/basillift/blcourier/headers.go
+++ b/basillift/blcourier/headers.go
@@ -35,21 +35,24 @@
 
 func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
+func flag(set bool) string {
+	if set {
+		return "1"
+	}
+	return "0"
+}
+
 func percent(share float64) string { return strconv.Itoa(int(100 * share)) }
 
 // hopFields is the number of values in a hop header of a request.
-const hopFields = 11
+const hopFields = 12
 
 // format writes what the target side has to know; times are relative to now.
 func (h hop) format(now time.Time) string {
-	repeatable := "0"
-	if h.repeatable {
-		repeatable = "1"
-	}
 	return strings.Join([]string{
-		h.instance, h.lane, strconv.Itoa(h.rank), repeatable, microseconds(h.objective),
+		h.instance, h.lane, strconv.Itoa(h.rank), flag(h.repeatable), microseconds(h.objective),
 		microseconds(h.goal.Sub(now)), microseconds(h.deadline.Sub(now)), strconv.FormatUint(h.seen, 10),
-		percent(h.served), strconv.Itoa(h.parent.rank), percent(h.parent.served),
+		percent(h.served), strconv.Itoa(h.parent.rank), percent(h.parent.served), percent(h.repeat),
 	}, " ")
 }
 
@@ -73,18 +76,23 @@
 		objective: after(numbers[4]), goal: arrived.Add(after(numbers[5])), deadline: arrived.Add(after(numbers[6])),
 		seen: uint64(numbers[7]), served: float64(numbers[8]) / 100,
 		parent: parent{rank: int(numbers[9]), served: float64(numbers[10]) / 100},
+		repeat: float64(numbers[11]) / 100,
 	}, true
 }
 
+// outcomeFields is the number of values in a hop header of an answer.
+const outcomeFields = 5
+
 // formatOutcome writes how a request ended.
 func (a *answer) formatOutcome() string {
-	return string(a.outcome) + " " + string(a.reason) + " " + microseconds(a.retryAfter) + " " + strconv.FormatUint(a.seen, 10)
+	return string(a.outcome) + " " + string(a.reason) + " " + microseconds(a.retryAfter) + " " + strconv.FormatUint(a.seen, 10) +
+		" " + flag(a.nested)
 }
 
 // parseOutcome reads what formatOutcome wrote. An answer without it says nothing, so that its outcome is unknown.
 func (a *answer) parseOutcome(text string) {
 	fields := strings.Split(text, " ")
-	if len(fields) != 4 {
+	if len(fields) != outcomeFields {
 		return
 	}
 	a.outcome, a.reason = basillift.Outcome(fields[0]), basillift.Reason(fields[1])
@@ -93,6 +101,7 @@
 	}
 	// A number that cannot be read is no news.
 	a.seen, _ = strconv.ParseUint(fields[3], 10, 64)
+	a.nested = fields[4] == flag(true)
 }
 
 // loadFields is the number of values in a load header; that of a VM with a thin link has one more.
--- a/basillift/blcourier/outcomes.go
+++ b/basillift/blcourier/outcomes.go
@@ -10,37 +10,47 @@
 	outcomesMost = 4096
 )
 
-// outcomes remembers how much of each route found room lately, of what this daemon's own callers sent.
+// outcomes remembers how much of each route found room lately, of what this daemon's own callers sent, and which
+// routes are calls of its target.
 type outcomes struct {
 	mutex  sync.Mutex
-	shares map[string]float64
+	routes map[string]*outcome
 }
 
-func newOutcomes() *outcomes { return &outcomes{shares: make(map[string]float64)} }
+// outcome is what is known of a route.
+type outcome struct {
+	room   float64
+	nested bool
+}
+
+func newOutcomes() *outcomes { return &outcomes{routes: make(map[string]*outcome)} }
 
-func (o *outcomes) observe(route string, room bool) {
+// observe notes whether a request of a route found room, and whether a target's daemon takes it for a call.
+func (o *outcomes) observe(route string, room, nested bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	share, known := o.shares[route]
-	if !known && len(o.shares) >= outcomesMost {
-		clear(o.shares)
-	}
-	if !known {
-		share = 1
+	known := o.routes[route]
+	if known == nil {
+		if len(o.routes) >= outcomesMost {
+			clear(o.routes)
+		}
+		known = &outcome{room: 1}
+		o.routes[route] = known
 	}
-	outcome := 0.0
+	found := 0.0
 	if room {
-		outcome = 1
+		found = 1
 	}
-	o.shares[route] = share + (outcome-share)*outcomeWeight
+	known.room += (found - known.room) * outcomeWeight
+	known.nested = nested
 }
 
-// share is the share of a route that found room, from 0 to 1.
-func (o *outcomes) share(route string) float64 {
+// of is what is known of a route.
+func (o *outcomes) of(route string) outcome {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if share, known := o.shares[route]; known {
-		return share
+	if known := o.routes[route]; known != nil {
+		return *known
 	}
-	return 1
+	return outcome{room: 1}
 }
--- a/basillift/blcourier/target.go
+++ b/basillift/blcourier/target.go
@@ -29,6 +29,8 @@
 	served float64
 	// parent describes the request that has made this one, if a target did.
 	parent parent
+	// repeat is how likely it is that this is a repeat, from 0 to 1: it follows another attempt, or a repeat made it.
+	repeat float64
 	// nested and first are set at the target side: for calls that targets make, and those that go before all else.
 	nested, first bool
 	repeatable    bool
@@ -44,6 +46,8 @@
 	// rank is noParent if the target ran nothing.
 	rank   int
 	served float64
+	// repeat is how likely it is that the parent is a repeat. It is used by the caller side only.
+	repeat float64
 }
 
 // targetSide runs requests at the VM's own target.
@@ -99,6 +103,7 @@
 	h = c.desk.arrived(now, h)
 	id, refusal := c.desk.enter(ctx, now, r.header(c.settings.dialect.RequestID()), h)
 	if refusal != nil {
+		refusal.nested = h.nested
 		return refusal
 	}
 	started := time.Now()
@@ -106,6 +111,7 @@
 	c.desk.started(h)
 	a, observed := t.ask(ctx, r, h)
 	c.desk.ended(h, time.Since(started))
+	a.nested = h.nested
 	if a.rest == nil {
 		c.desk.leave(time.Now(), id, observed)
 		return a
--- a/basillift/blretry/course_test.go
+++ b/basillift/blretry/course_test.go
@@ -1,6 +1,7 @@
 package blretry
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -64,49 +65,81 @@
 // Guards against repeats of all daemons together that exceed the bound of a
 // window, also when daemons are killed and start again with a new allowance.
 func TestAllowance(t *testing.T) {
-	const daemons, ratio, fixed, window = 13, 0.2, 64, 10
-	play := func(requestsASecond int, restart bool) (worst float64) {
-		all := make([]*Allowance, daemons)
+	const ratio, window = 0.2, 10
+	// meshLoad is daemons that send requests each at a rate and want to repeat all of them in each second for which
+	// wants is true. Inherited is the share of the requests that repeats make.
+	type meshLoad struct {
+		daemons, fixed int
+		rate           float64
+		restart        bool
+		inherited      float64
+		wants          func(second int) bool
+	}
+	play := func(m meshLoad) (worst float64) {
+		rnd := rand.New(rand.NewSource(1))
+		fresh := func() *Allowance { return NewAllowance(ratio, m.fixed, rnd) }
+		all := make([]*Allowance, m.daemons)
 		for i := range all {
-			all[i] = NewAllowance(ratio, fixed)
+			all[i] = fresh()
+		}
+		var repeats, requests []float64
+		sum := func(of []float64, end int) (total float64) {
+			for _, n := range of[max(0, end-window):max(0, end)] {
+				total += n
+			}
+			return total
 		}
-		var repeats []int
 		for second := range 60 {
-			taken := 0
-			for i, a := range all {
-				if restart && (second+i)%window == 0 {
-					all[i] = NewAllowance(ratio, fixed)
-					a = all[i]
+			taken, sent := 0.0, 0.0
+			for i := range all {
+				if m.restart && (second+i)%window == 0 {
+					all[i] = fresh()
 				}
-				for range requestsASecond {
-					a.Requested(begin, "s", daemons)
-					if a.Take(begin, "s", daemons) {
+				for step := range 10 {
+					if rnd.Float64() >= m.rate/10 {
+						continue
+					}
+					now := begin.Add(time.Duration(second)*time.Second + time.Duration(step)*time.Second/10)
+					sent++
+					taken += m.inherited
+					all[i].Requested(now, "s", m.daemons, m.inherited)
+					if m.wants(second) && all[i].Take(now, "s", m.daemons) {
 						taken++
 					}
 				}
 			}
-			repeats = append(repeats, taken)
-			sum := 0
-			for _, n := range repeats[max(0, len(repeats)-window):] {
-				sum += n
-			}
-			requests := float64(min(len(repeats), window) * daemons * requestsASecond)
-			worst = max(worst, float64(sum)/(ratio*requests+fixed))
+			repeats, requests = append(repeats, taken), append(requests, sent)
+			of := max(sum(requests, second+1), sum(requests, second+1-window), sum(requests, second+1-window/2))
+			worst = max(worst, sum(repeats, second+1)/(ratio*of+float64(m.fixed)))
 		}
 		return worst
 	}
-	for _, rate := range []int{1, 5, 50} {
-		for _, restart := range []bool{false, true} {
-			if worst := play(rate, restart); worst > 1 {
-				t.Errorf("%d requests a second, restarts %v: %.2f of the bound", rate, restart, worst)
+	always := func(int) bool { return true }
+	// Savings of calm seconds are spent at once.
+	bursts := func(second int) bool { return second%15 > 10 }
+	for _, m := range []meshLoad{
+		{daemons: 13, fixed: 64, rate: 1},
+		{daemons: 13, fixed: 64, rate: 5},
+		{daemons: 13, fixed: 64, rate: 9},
+		{daemons: 13, fixed: 64, rate: 9, inherited: 0.1},
+		{daemons: 13, fixed: 64, rate: 5, restart: true},
+		{daemons: 1200, fixed: 62, rate: 0.2},
+		{daemons: 1200, fixed: 62, rate: 0.2, restart: true},
+		{daemons: 1200, fixed: 62, rate: 3, restart: true},
+	} {
+		for name, wants := range map[string]func(int) bool{"always": always, "in bursts": bursts} {
+			m.wants = wants
+			if worst := play(m); worst > 1 {
+				t.Errorf("%d daemons, %v requests a second each, restarts %v, wanted %s: %.2f of the bound",
+					m.daemons, m.rate, m.restart, name, worst)
 			}
 		}
 	}
 	t.Run("services have allowances of their own", func(t *testing.T) {
 		is := is.New(t)
-		a := NewAllowance(0.2, 26)
-		for a.Take(begin, "s", daemons) {
+		a := NewAllowance(0.2, 104, rand.New(rand.NewSource(1)))
+		for a.Take(begin, "s", 13) {
 		}
-		is.True(a.Take(begin, "other", daemons))
+		is.True(a.Take(begin, "other", 13))
 	})
 }
