bladmit: the expected wait counts later arrivals of better ranks

Change: bladmit.pressure keeps the rate of work that each rank was admitted; the expected wait is that of the queue divided by what overtakers leave of the slots.

--- a/basillift/bladmit/goalqueue.go
+++ b/basillift/bladmit/goalqueue.go
@@ -102,6 +102,8 @@
 	lanes   map[string]*mean
 	all     mean
 	closed  basillift.Reason
+	// pressure counts what is admitted.
+	pressure pressure
 }
 
 // ticket is an offer that runs or waits.
@@ -133,7 +135,7 @@
 
 // NewGoalQueue returns an empty queue for a target with the given slots.
 func NewGoalQueue(slots int) *GoalQueue {
-	return &GoalQueue{slots: max(1, slots), running: make(map[uint64]*ticket), lanes: make(map[string]*mean)}
+	return &GoalQueue{slots: max(1, slots), running: make(map[uint64]*ticket), lanes: make(map[string]*mean), pressure: newPressure()}
 }
 
 // Load is what to tell the daemons that send requests.
@@ -171,15 +173,17 @@
 	t := &ticket{offer: o}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
 		q.start(now, t)
+		q.pressure.admitted(now, o, q.meanOf(o.lane, o))
 		return Decision{verdict: VerdictRun}
 	}
 	position, _ := slices.BinarySearchFunc(q.waiting, t, before)
-	wait := q.expected(position, o)
+	wait := time.Duration(float64(q.expected(position, o)) / (1 - q.pressure.overtaking(now, o, q.slots)))
 	latest := q.latest(now, o)
 	if now.Add(wait).After(latest) {
 		return Decision{verdict: VerdictRefuse, reason: basillift.ReasonOverload, retryAfter: q.expected(len(q.waiting), o)}
 	}
 	q.waiting = slices.Insert(q.waiting, position, t)
+	q.pressure.admitted(now, o, q.meanOf(o.lane, o))
 	return Decision{verdict: VerdictWait, until: latest}
 }
 
