blretry: daemons earn 0.6 of the ratio of repeats; calls of repeats that are not told from others count too

Those are charged by the likelihood that the parent is a repeat, which misses a part of them; daemons earned 0.8 of the ratio, with savings of 2 s 0.96, which leaves no room for that.

Change: 0.6, with savings 0.72. TestAllowance plays inherited repeats of which half are not told, wanted for 15 s after calm (failed first: 1.14 of the bound).

--- a/basillift/blretry/allowance.go
+++ b/basillift/blretry/allowance.go
@@ -9,8 +9,9 @@
 
 const (
 	// allowanceShare is the part of the mesh's ratio that daemons earn. What they save from requests of the last
-	// moments may be spent in a window that began later, so that together it stays within the ratio.
-	allowanceShare = 0.8
+	// moments may be spent in a window that began later, a fifth of it. The rest is for calls of repeats that are not
+	// told from others: a parent is known by likelihood only.
+	allowanceShare = 0.6
 	// allowanceStart is the part of its fixed share that a daemon holds after its start, so that restarts do not
 	// multiply the mesh's allowance.
 	allowanceStart = 0.25
--- a/basillift/blretry/course_test.go
+++ b/basillift/blretry/course_test.go
@@ -67,12 +67,13 @@
 func TestAllowance(t *testing.T) {
 	const ratio, window = 0.2, 10
 	// meshLoad is daemons that send requests each at a rate and want to repeat all of them in each second for which
-	// wants is true. Inherited is the share of the requests that repeats make.
+	// wants is true. Inherited is the share of the requests that repeats make, missed the part of it that is not told.
 	type meshLoad struct {
 		daemons, fixed int
 		rate           float64
 		restart        bool
 		inherited      float64
+		missed         float64
 		wants          func(second int) bool
 	}
 	play := func(m meshLoad) (worst float64) {
@@ -102,7 +103,7 @@
 					now := begin.Add(time.Duration(second)*time.Second + time.Duration(step)*time.Second/10)
 					sent++
 					taken += m.inherited
-					all[i].Requested(now, "s", m.daemons, m.inherited)
+					all[i].Requested(now, "s", m.daemons, m.inherited*(1-m.missed))
 					if m.wants(second) && all[i].Take(now, "s", m.daemons) {
 						taken++
 					}
@@ -117,17 +118,20 @@
 	always := func(int) bool { return true }
 	// Savings of calm seconds are spent at once.
 	bursts := func(second int) bool { return second%15 > 10 }
+	long := func(second int) bool { return second%30 > 15 }
 	for _, m := range []meshLoad{
 		{daemons: 13, fixed: 64, rate: 1},
 		{daemons: 13, fixed: 64, rate: 5},
 		{daemons: 13, fixed: 64, rate: 9},
 		{daemons: 13, fixed: 64, rate: 9, inherited: 0.1},
+		// A window of vbw-mesh, scale-1 --seed 1066067577358, with fewer fixed ones.
+		{daemons: 9, fixed: 20, rate: 9, inherited: 0.1, missed: 0.5},
 		{daemons: 13, fixed: 64, rate: 5, restart: true},
 		{daemons: 1200, fixed: 62, rate: 0.2},
 		{daemons: 1200, fixed: 62, rate: 0.2, restart: true},
 		{daemons: 1200, fixed: 62, rate: 3, restart: true},
 	} {
-		for name, wants := range map[string]func(int) bool{"always": always, "in bursts": bursts} {
+		for name, wants := range map[string]func(int) bool{"always": always, "in bursts": bursts, "for long": long} {
 			m.wants = wants
 			if worst := play(m); worst > 1 {
 				t.Errorf("%d daemons, %v requests a second each, restarts %v, wanted %s: %.2f of the bound",
