--- a/basillift/blcourier/caller.go
+++ b/basillift/blcourier/caller.go
@@ -119,15 +119,15 @@
 		objective = timeout
 	}
 	known := s.courier.outcomes.of(route.Name())
-	parent := parent{rank: noParent}
+	likely := parent{rank: noParent}
 	if known.nested {
-		parent = s.courier.desk.parent(route.Name(), known.room)
+		likely = s.courier.desk.parent(route.Name(), known.room)
 	}
 	return &journey{
 		request: r, route: route, service: s.courier.dealer.Deal(route),
 		hop: hop{
 			lane: route.Name(), rank: route.Priority(), repeatable: route.Kind().Repeatable(), objective: objective,
-			served: known.room, parent: parent, repeat: parent.repeat,
+			served: known.room, parent: likely, repeat: likely.repeat,
 			goal: r.arrived.Add(objective - waited), deadline: r.arrived.Add(timeout),
 		},
 	}
