blcourier: a stop ends connections that are read on for their unread bodies

By reading: such a connection left the server's list before it was read on, so that a stop waited up to a second for it, longer than the 0.7 s that a daemon keeps before it is killed. It leaves the list behind that now, and a stop closes it. No test: without a clock nothing shows the difference.

--- a/basillift/blcourier/session.go
+++ b/basillift/blcourier/session.go
@@ -83,13 +83,13 @@
 	}
 	close(s.turns)
 	<-written
-	s.owner.forget(s)
 	s.linger(time.Now())
+	s.owner.forget(s)
 	_ = s.conn.Close()
 }
 
 // linger reads on for a while if a body was not read to its end: closing the connection at once would reset it, and
-// the other side could lose the answer while it still sends.
+// the other side could lose the answer while it still sends. A stop of the server ends it.
 func (s *session) linger(now time.Time) {
 	t, ok := s.conn.(*net.TCPConn)
 	if !ok || !s.unread {
