labbench: the same fit on arm64 and x86-64

The recorded fits are compared exactly, and on arm64 the compiler fuses a product with the sum that follows, so the product isn't rounded there.

Each product that a sum follows is converted with float64 in NewFit, in Fit.At and in the derived figures of the capacity page; the language requires the rounding then. Without flags, the test failed before (1 of 1) and passes now on arm64; docs/CAPACITY.md is unchanged. x86-64: not run here (vet only).

--- a/basilliftlab/labbench/fit.go
+++ b/basilliftlab/labbench/fit.go
@@ -14,7 +14,8 @@
 const minSizes = 4
 
 // NewFit returns the line through the points. It returns false for fewer than four points,
-// for slices of different lengths and if all sizes are equal.
+// for slices of different lengths and if all sizes are equal. Each product is rounded, since some
+// architectures fuse multiplication and addition otherwise, which changes the last digits.
 func NewFit(x, y []float64) (Fit, bool) {
 	if len(x) < minSizes || len(x) != len(y) {
 		return Fit{}, false
@@ -24,15 +25,15 @@
 	for i := range x {
 		sumX += x[i]
 		sumY += y[i]
-		sumXX += x[i] * x[i]
-		sumXY += x[i] * y[i]
+		sumXX += float64(x[i] * x[i])
+		sumXY += float64(x[i] * y[i])
 	}
-	denominator := n*sumXX - sumX*sumX
+	denominator := float64(n*sumXX) - float64(sumX*sumX)
 	if denominator == 0 {
 		return Fit{}, false
 	}
-	f := Fit{slope: (n*sumXY - sumX*sumY) / denominator}
-	f.intercept = (sumY - f.slope*sumX) / n
+	f := Fit{slope: (float64(n*sumXY) - float64(sumX*sumY)) / denominator}
+	f.intercept = (sumY - float64(f.slope*sumX)) / n
 	f.setQuality(x, y, sumY/n)
 	return f, true
 }
@@ -42,8 +43,8 @@
 	var residualSquares, totalSquares float64
 	for i := range x {
 		d := y[i] - f.At(x[i])
-		residualSquares += d * d
-		totalSquares += (y[i] - meanY) * (y[i] - meanY)
+		residualSquares += float64(d * d)
+		totalSquares += float64((y[i] - meanY) * (y[i] - meanY))
 	}
 	f.residual = math.Sqrt(residualSquares / float64(len(x)))
 	f.rSquared = 1
@@ -66,4 +67,4 @@
 func (f Fit) RSquared() float64 { return f.rSquared }
 
 // At is the line's value at a size.
-func (f Fit) At(x float64) float64 { return f.intercept + f.slope*x }
+func (f Fit) At(x float64) float64 { return f.intercept + float64(f.slope*x) }
--- a/basilliftlab/labcapacity/bounds.go
+++ b/basilliftlab/labcapacity/bounds.go
@@ -61,7 +61,7 @@
 	ratio := p.value(experimentDaemons, "change.one.ratio")
 	p.printf("| one-customer change, received bytes over the compressed delta: goal %.1f | %s | %s |\n", goalDeltaRatio,
 		p.derivation(experimentDaemons, "change.one.ratio", ""), verdict(ratio, goalDeltaRatio))
-	reads := p.restCallsPerSecond() + p.callsPerChange()*changesPerDay/secondsPerDay
+	reads := p.restCallsPerSecond() + float64(p.callsPerChange()*changesPerDay/secondsPerDay)
 	p.printf("| platform, bound %.0f calls/s | at rest %.2f/s + changes %.2f/s = %.2f/s | %s |\n", maxPlatformCallsPerSecond,
 		p.restCallsPerSecond(), p.callsPerChange()*changesPerDay/secondsPerDay, reads, verdict(reads, maxPlatformCallsPerSecond))
 	p.printf("| the same in a full restart, peak second | %s | %s |\n", p.derivation(experimentDaemons, "restart.peak", "calls/s"),
--- a/basilliftlab/labcapacity/days.go
+++ b/basilliftlab/labcapacity/days.go
@@ -16,7 +16,7 @@
 func (p *page) ordinaryDay() {
 	one, drain, crash, join := p.value(experimentDaemons, "change.one.bytes"), p.value(experimentDaemons, "event.drain.bytes"),
 		p.value(experimentDaemons, "event.crash.bytes"), p.value(experimentDaemons, "event.join.bytes")
-	bytesPerDay := changesPerDay*2*one + replacementsPerDay*(drain+crash+join) + failuresPerDay*(crash+join)
+	bytesPerDay := float64(changesPerDay*2*one) + float64(replacementsPerDay*(drain+crash+join)) + float64(failuresPerDay*(crash+join))
 	p.row("ordinary", fmt.Sprintf("%d changes × 2 × %.0f B + %d replaced × (drain %.0f + end %.0f + join %.0f B) + %d failed × (end + join) = %.0f B for each daemon a day, %.1f B/s",
 		changesPerDay, one, replacementsPerDay, drain, crash, join, failuresPerDay, bytesPerDay, bytesPerDay/secondsPerDay), "deltas, flooding of changed records", "nothing near: at rest the probes cost more")
 }
--- a/basilliftlab/labcapacity/derive.go
+++ b/basilliftlab/labcapacity/derive.go
@@ -91,14 +91,14 @@
 	}
 	largest := 0.0
 	for i, n := range heap.Sizes() {
-		largest = max(largest, heap.Values()[i]/n/bytesPerMB-connections.Values()[i]*p.connectionMB())
+		largest = max(largest, heap.Values()[i]/n/bytesPerMB-float64(connections.Values()[i]*p.connectionMB()))
 	}
 	return largest
 }
 
 // memoryMB is the memory of a daemon with a number of connections.
 func (p *page) memoryMB(connections float64) float64 {
-	return p.baseMB() + connections*p.connectionMB()
+	return p.baseMB() + float64(connections*p.connectionMB())
 }
 
 // slope is the growth of a figure for each unit of its axis.
