blwatch: log and count requests for changes that end without an answer

Result: tests of bllog, blwatch and basilliftd pass. net/http still retries by itself where keep-alive probes end a wait, without any error here; the fix of the wait brings these to light.

--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -24,7 +24,7 @@
 func Catalogue() []Entry {
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
-		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(),
+		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(),
 		MemberDied(), Paused(), TargetChanged(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
 	}
 }
@@ -88,6 +88,12 @@
 	return Entry{205, zerolog.InfoLevel, "reader of the platform changed", "none; if the line names no daemon, this daemon reads the platform itself"}
 }
 
+// WaitFailed is logged when a request for changes of the registry ended without an answer while the platform counted as
+// reachable.
+func WaitFailed() Entry {
+	return Entry{206, zerolog.InfoLevel, "request for changes ended without an answer", "none; if it recurs, check the connections to the platform"}
+}
+
 // MemberDied is logged when a member is declared dead.
 func MemberDied() Entry { return Entry{300, zerolog.InfoLevel, "member died", "none"} }
 
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -22,6 +22,9 @@
 	Replace(now time.Time, revision uint64, all []basillift.RegistryEntry)
 	// Apply receives one change.
 	Apply(now time.Time, e basillift.RegistryEntry)
+	// WaitFailed reports that a request to the registry ended without an answer while the registry counted as reachable.
+	// unanswered is the time since its last answer.
+	WaitFailed(now time.Time, unanswered time.Duration, err error)
 	// RegistryDown reports that the registry no longer answers.
 	RegistryDown(now time.Time, err error)
 	// RegistryRecovered reports that the registry answers again. partitioned means that it was unreachable for this
@@ -75,16 +78,19 @@
 	return w.state.Next(now)
 }
 
-// recordFailure records a failed request, unless the wait was canceled deliberately.
+// recordFailure records a failed request. A wait that was canceled deliberately does not count towards an outage.
 func (w *Watcher) recordFailure(now time.Time, err error) {
 	w.mutex.Lock()
+	reachable, unanswered, down := !w.state.down, now.Sub(w.state.lastAnswer), false
 	if errors.Is(err, errAnswerLost) {
 		w.state.WaitCanceled()
-		w.mutex.Unlock()
-		return
+	} else {
+		down = w.state.Failed(now, err)
 	}
-	down := w.state.Failed(now, err)
 	w.mutex.Unlock()
+	if reachable {
+		w.handler.WaitFailed(now, unanswered, err)
+	}
 	if down {
 		w.handler.RegistryDown(now, err)
 	}
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/dig"
 
 	"basillift.dev/basillift"
@@ -53,8 +54,11 @@
 	forwarder    *blforwarder.Forwarder
 	watcher      *blwatch.Watcher
 	// cache is nil for a follower.
-	cache  *blfeed.Cache
-	admin  *bladmin.Server
+	cache *blfeed.Cache
+	admin *bladmin.Server
+	// metrics holds the daemon's own metrics, beside those of the forwarder.
+	metrics     *metrics.Set
+	failedWaits *metrics.Counter
 	tasks  sync.WaitGroup
 	failed chan error
 }
@@ -105,6 +109,7 @@
 		settings: s, log: l, tables: tables, fleet: fleet, forwarder: forwarder, failed: make(chan error, 3),
 	}
 	d.setUpRegistry(registry, rand.New(rand.NewSource(rnd.Int63())))
+	d.setUpMetrics()
 	d.admin = bladmin.NewTableServer(d)
 	return d
 }
@@ -115,6 +120,12 @@
 	return s.LinkMbitPerSecond() > 0 && s.LinkMbitPerSecond() < minReaderLinkMbps
 }
 
+func (d *tableDaemon) setUpMetrics() {
+	d.metrics = metrics.NewSet()
+	d.metrics.NewGauge("basillift_registry_answer_age_seconds", func() float64 { return time.Since(d.watcher.LastAnswer()).Seconds() })
+	d.failedWaits = d.metrics.NewCounter("basillift_registry_waits_failed_total")
+}
+
 // setUpRegistry makes the daemon a reader of the registry, which serves other daemons, or a follower of readers.
 func (d *tableDaemon) setUpRegistry(registry basillift.Registry, rnd *rand.Rand) {
 	if !hasSlowLink(d.settings) {
@@ -229,7 +240,10 @@
 func (d *tableDaemon) Table() *bltable.Table { return d.tables.Current() }
 
 // WriteMetrics implements bladmin.TableSource.
-func (d *tableDaemon) WriteMetrics(w io.Writer) { d.forwarder.WriteMetrics(w) }
+func (d *tableDaemon) WriteMetrics(w io.Writer) {
+	d.forwarder.WriteMetrics(w)
+	d.metrics.WritePrometheus(w)
+}
 
 // ExplainRoute implements bladmin.TableSource.
 func (d *tableDaemon) ExplainRoute(now time.Time, host, path string) []string {
@@ -310,6 +324,12 @@
 	return true
 }
 
+// WaitFailed implements blwatch.Handler.
+func (d *tableDaemon) WaitFailed(_ time.Time, unanswered time.Duration, err error) {
+	d.failedWaits.Inc()
+	d.log.Event(bllog.WaitFailed()).Int64("unanswered_ms", unanswered.Milliseconds()).Err(err).Send()
+}
+
 // RegistryDown implements blwatch.Handler.
 func (d *tableDaemon) RegistryDown(_ time.Time, err error) {
 	if d.cache != nil {
