blwatch: notice a lost wait before the daemon counts as connected

Callers saw: requests on a route that had been changed or added were handled by the old table, for up to a second after the VM counted as connected again (CONFIG), on all VMs at once. Cause: an answer to a pending request for changes may never come (silent connection, lost answer, history dropped). It counted as lost after 3 s of waiting and 1.5 s more, or after 4 s by keep-alive probes, where net/http sent the request again without an error. The bound is 3 s. The revisions that daemons tell each other don't help where all lack the change, and after a change all wait from the same moment. Followers looked for another reader on pooled connections, which had gone silent too. Change: waits of 2 s (1.5 s with followers), and an answer has to begin 0.6 s after its wait (1.5 s after a failure, for a slow store); the request after a lost one doesn't wait; searches for another reader open new connections. How long an answer may take is decided in WatchState and passed to the registry; the store's client bounds the transfer apart from it. Result: TestChangeAfterLostWait fails 116 times with the old times (changes applied up to 4.5 s after the silence began) and passes; TestFailoverUsesNewConnection fails without the new connection and passes.

--- a/basillift/blfeed/followerregistry.go
+++ b/basillift/blfeed/followerregistry.go
@@ -96,7 +96,7 @@
 // in three cases: the reader does not hold all changes since the revision, no daemon is current any more although the
 // last answer came from a reader, or the registry takes longer than registryTimeout. A listing contains only the newest
 // table, whereas the changes may contain many versions.
-func (r *FollowerRegistry) Changes(ctx context.Context, revision uint64, wait time.Duration) (basillift.RegistryPage, error) {
+func (r *FollowerRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
 	r.completeRevision.Store(max(r.completeRevision.Load(), revision))
 	page, full := r.queryReaders(ctx, min(wait, maxFeedWait), func(version uint64, wait time.Duration) basillift.FeedRequest {
 		return basillift.NewFeedRequest(version, wait).Since(revision, max(r.newestRevision.Load(), r.peerRevision.Load()))
@@ -111,7 +111,7 @@
 	}
 	directCtx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	direct, err := r.observePage(r.registry.Changes(directCtx, revision, min(wait, registryWait)))
+	direct, err := r.observePage(r.registry.Changes(directCtx, revision, min(wait, registryWait), timeout))
 	if err != nil && directCtx.Err() != nil && ctx.Err() == nil {
 		return direct, fmt.Errorf("changes took too long to arrive: %w", basillift.ErrCompacted)
 	}
--- a/basillift/blfeed/followerregistry_test.go
+++ b/basillift/blfeed/followerregistry_test.go
@@ -60,7 +60,7 @@
 	return basillift.NewRegistryPage([]basillift.RegistryEntry{entryOf("x", 90)}, 95, ""), nil
 }
 
-func (m *fakeMesh) Changes(ctx context.Context, _ uint64, _ time.Duration) (basillift.RegistryPage, error) {
+func (m *fakeMesh) Changes(ctx context.Context, _ uint64, _, _ time.Duration) (basillift.RegistryPage, error) {
 	if m.slowChanges {
 		<-ctx.Done()
 		return basillift.RegistryPage{}, basillift.ErrUnavailable
@@ -117,7 +117,7 @@
 	for _, daemon := range []string{"d-0", "d-1"} {
 		r.selector.Replied(time.Now(), daemon, basillift.NewFeedResponse(basillift.FeedUnchanged, 1))
 	}
-	_, err := r.Changes(context.Background(), 20, testTimeout)
+	_, err := r.Changes(context.Background(), 20, testTimeout, testTimeout)
 	is := is.New(t)
 	is.NoErr(err)
 	is.Equal(m.waits, []time.Duration{maxFeedWait, 0})
@@ -128,64 +128,64 @@
 	ctx := context.Background()
 	t.Run("a reader has changes", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": newChangedCache(t), "d-1": newChangedCache(t)}}
-		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout)
+		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout, testTimeout)
 		assertListing(t, page, err, 21, "x")
 	})
 	t.Run("one reader is gone", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-1": newChangedCache(t)}}
-		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout)
+		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout, testTimeout)
 		assertListing(t, page, err, 21, "x")
 	})
 	t.Run("one reader is partitioned from the registry", func(t *testing.T) {
 		down := newTestCache(t)
 		down.SetRegistryDown(true)
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": down, "d-1": newChangedCache(t)}}
-		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout)
+		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout, testTimeout)
 		assertListing(t, page, err, 21, "x")
 	})
 	t.Run("one reader lacks a change that another one reported", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": newChangedCache(t), "d-1": newChangedCache(t)}}
 		r := m.newFollower(t)
-		page, err := r.Changes(ctx, 20, testTimeout)
+		page, err := r.Changes(ctx, 20, testTimeout, testTimeout)
 		assertListing(t, page, err, 21, "x")
 		m.setCaches(map[string]*Cache{"d-0": newTestCache(t), "d-1": newChangedCache(t)})
-		page, err = r.Changes(ctx, 21, 0)
+		page, err = r.Changes(ctx, 21, 0, testTimeout)
 		assertListing(t, page, err, 21)
 	})
 	t.Run("a reader lacks what others have seen", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": newTestCache(t), "d-1": newChangedCache(t)}}
 		r := m.newFollower(t)
 		r.ObserveRevision(21)
-		page, err := r.Changes(ctx, 20, testTimeout)
+		page, err := r.Changes(ctx, 20, testTimeout, testTimeout)
 		assertListing(t, page, err, 21, "x")
 	})
 	t.Run("a reader lacks older changes", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": newChangedCache(t), "d-1": newChangedCache(t)}}
-		_, err := m.newFollower(t).Changes(ctx, 5, testTimeout)
+		_, err := m.newFollower(t).Changes(ctx, 5, testTimeout, testTimeout)
 		is.New(t).True(errors.Is(err, basillift.ErrCompacted))
 	})
 	t.Run("there is no reader", func(t *testing.T) {
 		m := &fakeMesh{}
-		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout)
+		page, err := m.newFollower(t).Changes(ctx, 20, testTimeout, testTimeout)
 		assertListing(t, page, err, 95, "x")
 		is.New(t).Equal(len(m.requests), 3)
 	})
 	t.Run("changes of the registry take too long to arrive", func(t *testing.T) {
 		m := &fakeMesh{slowChanges: true}
-		_, err := m.newFollower(t).Changes(ctx, 20, testTimeout)
+		_, err := m.newFollower(t).Changes(ctx, 20, testTimeout, testTimeout)
 		is.New(t).True(errors.Is(err, basillift.ErrCompacted))
 	})
 	t.Run("no reader is left", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": newChangedCache(t)}}
 		r := m.newFollower(t)
-		_, err := r.Changes(ctx, 20, testTimeout)
+		_, err := r.Changes(ctx, 20, testTimeout, testTimeout)
 		is.New(t).NoErr(err)
 		m.setCaches(nil)
-		_, err = r.Changes(ctx, 21, testTimeout)
+		_, err = r.Changes(ctx, 21, testTimeout, testTimeout)
 		is.New(t).True(errors.Is(err, basillift.ErrCompacted))
 		page, err := r.List(ctx, "")
 		assertListing(t, page, err, 95, "x")
-		page, err = r.Changes(ctx, 95, testTimeout)
+		page, err = r.Changes(ctx, 95, testTimeout, testTimeout)
 		assertListing(t, page, err, 95, "x")
 	})
 }
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -35,10 +35,12 @@
 	header   []byte
 	deadline time.Time
 	// requestID is the id that the answer must echo; empty to skip the check.
-	requestID       string
-	idHeader        string
-	notRunHeader    string
-	detachContext   func() bool
+	requestID     string
+	idHeader      string
+	notRunHeader  string
+	detachContext func() bool
+	// newConnection is set for a request that must not use an idle connection, which may be silent.
+	newConnection   bool
 	sender          *sender
 	readStaleAnswer bool
 	unsent          bool
@@ -63,7 +65,11 @@
 
 // run sends the request and reads the answer. After an error, unsent is set if no byte of the request was sent.
 func (e *exchange) run(ctx context.Context, now time.Time) (*receivedAnswer, error) {
-	conn, err := e.pool.Get(now, e.deadline)
+	connect := e.pool.Get
+	if e.newConnection {
+		connect = e.pool.Open
+	}
+	conn, err := connect(now, e.deadline)
 	if err != nil {
 		e.unsent = true
 		return nil, fmt.Errorf("get connection: %w", err)
--- a/basillift/blforwarder/feed.go
+++ b/basillift/blforwarder/feed.go
@@ -82,6 +82,8 @@
 	e := &exchange{
 		pool: f.pools.Of(daemon), request: &request{method: http.MethodGet}, header: []byte(header),
 		deadline: now.Add(query.Wait() + maxTableTransferTime),
+		// A request that does not wait looks for another reader after one has failed.
+		newConnection: query.Wait() == 0,
 	}
 	if query.CompleteRevision() > 0 {
 		e.deadline = now.Add(query.Wait() + maxChangesTransferTime)
--- a/basillift/blforwarder/feed_test.go
+++ b/basillift/blforwarder/feed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +80,39 @@
 		assertFeed(t, <-responses, draining.Err(), basillift.FeedStale, 5)
 	})
 }
+
+// silentDaemon answers one feed request on each connection and ignores all further ones.
+type silentDaemon struct{ listener net.Listener }
+
+func startSilentDaemon(t *testing.T) *silentDaemon {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	d := &silentDaemon{listener: listener}
+	go d.loop(t)
+	return d
+}
+
+func (d *silentDaemon) loop(t *testing.T) {
+	for {
+		conn, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err = conn.Read(make([]byte, 4<<10)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+headerFeed+": "+string(basillift.FeedUnchanged)+" 5\r\n\r\n")
+		}
+	}
+}
+
+// Guards against a search for another reader that runs into connections which have gone silent.
+func TestFailoverUsesNewConnection(t *testing.T) {
+	m := startMesh(t, startTarget(t, answerOK))
+	address := startSilentDaemon(t).listener.Addr().String()
+	for range 3 {
+		r, err := m.forwarders[0].RequestFeed(context.Background(), address, basillift.NewFeedRequest(1, 0).Since(5, 5))
+		assertFeed(t, r, err, basillift.FeedUnchanged, 5)
+	}
+}
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -71,6 +71,10 @@
 	return p.dial(now, deadline)
 }
 
+// Open opens a new connection even if an idle one is usable, since open connections may be silent while new ones work.
+// Its errors are those of Get.
+func (p *Pool) Open(now, deadline time.Time) (*Conn, error) { return p.dial(now, deadline) }
+
 func (p *Pool) takeIdle() *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/basillift/blwatch/state.go
+++ b/basillift/blwatch/state.go
@@ -8,14 +8,22 @@
 	"basillift.dev/basillift"
 )
 
+// maxStaleness is how long after the loss of an answer a daemon may lack a change: daemons count as connected 3 s after a
+// fault.
+const maxStaleness = 3 * time.Second
+
 const (
-	// maxWait is how long the registry may delay its answer to a request for changes. A registry that loses its
-	// history may never answer pending requests with the changes of its last second, and this affects all daemons at
-	// once. Daemons count as connected again 3 s after the loss and have to be current by then. If only one daemon
-	// misses an answer, it detects this earlier, by the revisions that other daemons have seen.
-	maxWait = 3 * time.Second
+	// maxWait is how long the registry may delay its answer to a request for changes. The answer may never come: the
+	// registry loses its history, or the connection goes silent. After a change all daemons wait from the same moment, so
+	// this may affect all of them at once. The wait, answerTimeout and the next request have to end within maxStaleness.
+	// If only one daemon misses an answer, it detects this earlier, by the revisions that other daemons have seen.
+	maxWait = 2 * time.Second
 	// maxWaitWithFollowers is maxWait for a daemon that has followers, which receive each change a little later.
-	maxWaitWithFollowers = 2 * time.Second
+	maxWaitWithFollowers = 1500 * time.Millisecond
+	// answerTimeout is how long after the wait an answer may be missing before it counts as lost. slowAnswerTimeout is the
+	// same after a failure, since the registry may be slow.
+	answerTimeout     = 600 * time.Millisecond
+	slowAnswerTimeout = 1500 * time.Millisecond
 	// minChangePause is the minimum pause between an answer with changes and the next request. A change has to be in
 	// force within 2 s.
 	minChangePause = 400 * time.Millisecond
@@ -31,8 +39,8 @@
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
 	// outageThreshold is the time without an answer after which the first failure already means that the registry is
-	// down: one wait and its answer.
-	outageThreshold = maxWait + time.Second
+	// down. A single lost answer doesn't reach it, also after the pause between changes.
+	outageThreshold = 2 * maxWait
 	// peerLeadTimeout is how long another daemon may be ahead before the pending wait is canceled and the registry is
 	// asked again. It covers a few answers of the registry, and the pause during a burst of changes.
 	peerLeadTimeout = maxTransferPause + 200*time.Millisecond
@@ -54,6 +62,7 @@
 	after    string
 	revision uint64
 	wait     time.Duration
+	timeout  time.Duration
 }
 
 // Kind is the kind of the request.
@@ -71,6 +80,9 @@
 // Wait is how long the registry may delay its answer.
 func (o Operation) Wait() time.Duration { return o.wait }
 
+// Timeout is how long after the wait an answer to a request for changes may be missing before it counts as lost.
+func (o Operation) Timeout() time.Duration { return o.timeout }
+
 // WatchState decides which request to send to the registry next. It is not safe for concurrent use.
 type WatchState struct {
 	rnd               *rand.Rand
@@ -106,11 +118,18 @@
 	if s.failures == 0 {
 		pause = max(0, s.lastChange.Add(s.changePause).Sub(now))
 	}
-	wait := maxWait
+	wait, timeout := maxWait, answerTimeout
 	if s.hasFollowers {
 		wait = maxWaitWithFollowers
 	}
-	return Operation{kind: OperationChanges, revision: s.revision, wait: wait, pause: pause}
+	if s.failures > 0 {
+		timeout = slowAnswerTimeout
+	}
+	if s.failures > 0 && !s.down {
+		// An answer without a wait shows at once whether only one answer was lost.
+		wait = 0
+	}
+	return Operation{kind: OperationChanges, revision: s.revision, wait: wait, timeout: timeout, pause: pause}
 }
 
 // SetHasFollowers sets whether other daemons follow this one.
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -172,7 +172,7 @@
 	w.mutex.Lock()
 	w.cancelWait = cancel
 	w.mutex.Unlock()
-	page, err := w.registry.Changes(waitCtx, o.Revision(), o.Wait())
+	page, err := w.registry.Changes(waitCtx, o.Revision(), o.Wait(), o.Timeout())
 	w.mutex.Lock()
 	w.cancelWait = nil
 	w.mutex.Unlock()
--- /dev/null
+++ b/basillift/blwatch/watcher_test.go
@@ -0,0 +1,144 @@
+package blwatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basillift.dev/basillift"
+)
+
+// silentRegistry answers requests for changes. Waits that are pending when it goes silent are never answered.
+type silentRegistry struct {
+	mutex    sync.Mutex
+	revision uint64
+	changed  chan struct{}
+	silent   chan struct{}
+}
+
+func newSilentRegistry() *silentRegistry {
+	return &silentRegistry{revision: 1, changed: make(chan struct{}), silent: make(chan struct{})}
+}
+
+func (r *silentRegistry) change() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *silentRegistry) goSilent() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	close(r.silent)
+	r.silent = make(chan struct{})
+}
+
+func (r *silentRegistry) List(context.Context, string) (basillift.RegistryPage, error) {
+	return basillift.NewRegistryPage(nil, 1, ""), nil
+}
+
+// Changes implements basillift.Registry.
+func (r *silentRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
+	r.mutex.Lock()
+	newest, changed, silent := r.revision, r.changed, r.silent
+	r.mutex.Unlock()
+	if newest > revision {
+		return basillift.NewRegistryPage([]basillift.RegistryEntry{basillift.NewRegistryEntry("table", newest)}, newest, ""), nil
+	}
+	ended := time.After(wait + timeout)
+	select {
+	case <-changed:
+		return r.Changes(ctx, revision, 0, 0)
+	case <-time.After(wait):
+		return basillift.NewRegistryPage(nil, revision, ""), nil
+	case <-silent:
+	case <-ctx.Done():
+		return basillift.RegistryPage{}, fmt.Errorf("canceled: %w", basillift.ErrUnavailable)
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	return basillift.RegistryPage{}, fmt.Errorf("no answer: %w", basillift.ErrUnavailable)
+}
+
+// recorder records when a revision was applied, and failed waits.
+type recorder struct {
+	mutex     sync.Mutex
+	appliedAt map[uint64]time.Time
+	failed    int
+}
+
+func (h *recorder) Replace(time.Time, uint64, []basillift.RegistryEntry) {}
+
+func (h *recorder) Apply(now time.Time, e basillift.RegistryEntry) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.appliedAt[e.Revision()] = now
+}
+
+func (h *recorder) WaitFailed(time.Time, time.Duration, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.failed++
+}
+
+func (h *recorder) RegistryDown(time.Time, error) {}
+
+func (h *recorder) RegistryRecovered(time.Time, bool) {}
+
+// staleness returns how long after the registry went silent a watcher applied the next change, and how many failed waits it
+// reported. The registry goes silent some time after the change before.
+func staleness(t *testing.T, sinceChange time.Duration, hasFollowers bool) (stale time.Duration, failed int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[uint64]time.Time)}
+		w := New(registry, handler, rand.New(rand.NewSource(1)))
+		w.SetHasFollowers(func(time.Time) bool { return hasFollowers })
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		time.Sleep(time.Second)
+		registry.change()
+		time.Sleep(sinceChange)
+		registry.goSilent()
+		silentAt := time.Now()
+		time.Sleep(time.Millisecond)
+		registry.change()
+		time.Sleep(time.Minute)
+		stale, failed = handler.appliedAt[registry.revision].Sub(silentAt), handler.failed
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return stale, failed
+}
+
+// Guards against daemons that still route by an old table when they count as connected again, since the answer to
+// their pending request for changes will never come.
+func TestChangeAfterLostWait(t *testing.T) {
+	for _, hasFollowers := range []bool{false, true} {
+		bound := maxStaleness
+		if hasFollowers {
+			bound -= 500 * time.Millisecond
+		}
+		t.Run(fmt.Sprintf("followers %t", hasFollowers), func(t *testing.T) {
+			for sinceChange := 25 * time.Millisecond; sinceChange < 5*time.Second; sinceChange += 50 * time.Millisecond {
+				stale, failed := staleness(t, sinceChange, hasFollowers)
+				if stale <= 0 || stale >= bound {
+					t.Errorf("silent %s after a change: next change applied after %s, want less than %s", sinceChange, stale, bound)
+				}
+				if pending := sinceChange > minChangePause; pending && failed != 1 {
+					t.Errorf("silent %s after a change: %d failed waits reported, want 1", sinceChange, failed)
+				}
+			}
+		})
+	}
+}
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -112,8 +112,9 @@
 type Registry interface {
 	// List returns one page of all entries after the given key.
 	List(ctx context.Context, after string) (RegistryPage, error)
-	// Changes returns the changes after the revision. It waits until there is one, at most for the given time.
-	Changes(ctx context.Context, revision uint64, wait time.Duration) (RegistryPage, error)
+	// Changes returns the changes after the revision. The registry waits until there is one, at most for the given time.
+	// If its answer has not begun by timeout after that, it counts as lost, and the error wraps ErrUnavailable.
+	Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (RegistryPage, error)
 }
 
 // RevisionGossip exchanges the newest known revision of the registry between daemons, so
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -59,8 +59,8 @@
 	// metrics holds the daemon's own metrics, beside those of the forwarder.
 	metrics     *metrics.Set
 	failedWaits *metrics.Counter
-	tasks  sync.WaitGroup
-	failed chan error
+	tasks       sync.WaitGroup
+	failed      chan error
 }
 
 // buildTableDaemon builds the daemon that routes by the routing table, with all its parts.
