blwatch: requests during an outage of the registry don't wait

Cause: while the registry counted as down, requests for changes still asked it to wait for 2 s, with 1.5 s more for the answer. One sent just before the end of a silent outage got no answer for 3.5 s; the bound is 3 s. The fault is that of (a time-out chosen alone, where the bound covers wait, time-out, pause and the next answer), in a state that its test did not play. Change: requests after a failure never ask the registry to wait. Result: TestChangeAfterSilentOutage failed for 55 of 280 outages (applied up to 3.4 s after the end) and passes.

--- a/basillift/blwatch/state.go
+++ b/basillift/blwatch/state.go
@@ -123,11 +123,8 @@
 		wait = maxWaitWithFollowers
 	}
 	if s.failures > 0 {
-		timeout = slowAnswerTimeout
-	}
-	if s.failures > 0 && !s.down {
-		// An answer without a wait shows at once whether only one answer was lost.
-		wait = 0
+		// An answer without a wait shows at once that only one answer was lost, or that an outage has ended.
+		wait, timeout = 0, slowAnswerTimeout
 	}
 	return Operation{kind: OperationChanges, revision: s.revision, wait: wait, timeout: timeout, pause: pause}
 }
--- a/basillift/blwatch/watcher_test.go
+++ b/basillift/blwatch/watcher_test.go
@@ -12,10 +12,12 @@
 	"basillift.dev/basillift"
 )
 
-// silentRegistry answers requests for changes. Waits that are pending when it goes silent are never answered.
+// silentRegistry answers requests for changes. Waits that are pending when it goes silent are never answered, nor are
+// requests during an outage.
 type silentRegistry struct {
 	mutex    sync.Mutex
 	revision uint64
+	outage   bool
 	changed  chan struct{}
 	silent   chan struct{}
 }
@@ -39,6 +41,12 @@
 	r.silent = make(chan struct{})
 }
 
+func (r *silentRegistry) setOutage(outage bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.outage = outage
+}
+
 func (r *silentRegistry) List(context.Context, string) (basillift.RegistryPage, error) {
 	return basillift.NewRegistryPage(nil, 1, ""), nil
 }
@@ -46,16 +54,21 @@
 // Changes implements basillift.Registry.
 func (r *silentRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
 	r.mutex.Lock()
-	newest, changed, silent := r.revision, r.changed, r.silent
+	newest, changed, silent, outage := r.revision, r.changed, r.silent, r.outage
 	r.mutex.Unlock()
-	if newest > revision {
+	if outage {
+		changed, silent = nil, closedChannel()
+	} else if newest > revision {
 		return basillift.NewRegistryPage([]basillift.RegistryEntry{basillift.NewRegistryEntry("table", newest)}, newest, ""), nil
 	}
-	ended := time.After(wait + timeout)
+	ended, waited := time.After(wait+timeout), time.After(wait)
+	if outage {
+		waited = nil
+	}
 	select {
 	case <-changed:
 		return r.Changes(ctx, revision, 0, 0)
-	case <-time.After(wait):
+	case <-waited:
 		return basillift.NewRegistryPage(nil, revision, ""), nil
 	case <-silent:
 	case <-ctx.Done():
@@ -68,6 +81,12 @@
 	return basillift.RegistryPage{}, fmt.Errorf("no answer: %w", basillift.ErrUnavailable)
 }
 
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
 // recorder records when a revision was applied, and failed waits.
 type recorder struct {
 	mutex     sync.Mutex
@@ -142,3 +161,40 @@
 		})
 	}
 }
+
+// outageStaleness returns how long after a silent outage of the registry a watcher applied a change that was made during it.
+func outageStaleness(t *testing.T, outage time.Duration) (stale time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[uint64]time.Time)}
+		w := New(registry, handler, rand.New(rand.NewSource(1)))
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		time.Sleep(time.Second)
+		registry.setOutage(true)
+		registry.goSilent()
+		time.Sleep(outage - time.Millisecond)
+		registry.change()
+		time.Sleep(time.Millisecond)
+		registry.setOutage(false)
+		returnedAt := time.Now()
+		time.Sleep(time.Minute)
+		stale = handler.appliedAt[registry.revision].Sub(returnedAt)
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return stale
+}
+
+// Guards against daemons that still route by an old table when the registry counts as stable after a silent outage, since
+// they sent a request just before its end.
+func TestChangeAfterSilentOutage(t *testing.T) {
+	for outage := time.Second; outage < 15*time.Second; outage += 50 * time.Millisecond {
+		if stale := outageStaleness(t, outage); stale <= 0 || stale >= maxStaleness {
+			t.Errorf("outage of %s: change applied %s after its end, want less than %s", outage, stale, maxStaleness)
+		}
+	}
+}
