bladmit, bladvisory: keep the request limits that targets name

Callers and operators saw: a target that said in its answers how many requests per second it accepts got half as many again and more (LIMIT). Cause: nothing read it. Admission bounds by slots how many requests run, not how many start; and a limit for all VMs together can't be kept by each daemon alone. Change: bladvisory.Tracker holds what targets say, with age and expiry. Requests that it keeps from starting in time are refused at once, and refused callers come back one after the other. Event 401, a gauge, explain.

--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -93,7 +93,8 @@
 // queue is closed.
 func (a AdmissionDecision) RetryAfter() time.Duration { return a.retryAfter }
 
-// DeadlineQueue admits requests to one target whose number of slots is known exactly. It is designed
+// DeadlineQueue admits requests to one target whose number of slots is known exactly, and which may limit how many requests
+// it accepts per second. It is designed
 // for overload: a request waits only if it is expected to start in time for its soft deadline, or within a small
 // fraction of its latency objective. Otherwise it is refused on arrival, so that it can go to another target while
 // there is time. Better ranks go first. Within a rank nested calls go first, then requests that can meet their
@@ -102,6 +103,7 @@
 	slots       int
 	running     map[uint64]*deadlineEntry
 	waiting     []*deadlineEntry
+	limit       requestLimit
 	routes      map[string]*movingMean
 	overall     movingMean
 	closeReason basillift.Reason
@@ -112,7 +114,9 @@
 // deadlineEntry is a request that runs or waits.
 type deadlineEntry struct {
 	request SlotRequest
-	started time.Time
+	// latestStart is when a waiting request has to be refused.
+	latestStart time.Time
+	started     time.Time
 }
 
 // movingMean is an exponential moving average in seconds, with its mean deviation.
@@ -153,17 +157,56 @@
 	return q.dispatch(now)
 }
 
+// SetRequestLimit sets how many requests per second the target accepts, and returns the ids of the waiting requests that
+// start. Without a limit only the slots bound them.
+func (q *DeadlineQueue) SetRequestLimit(now time.Time, perSecond float64, limited bool) []uint64 {
+	q.limit.set(now, perSecond, limited)
+	return q.dispatch(now)
+}
+
+// NextStart returns how long the first waiting request has to wait for the request limit; false if it waits for a slot, or
+// none waits. Dispatch has to be called then.
+func (q *DeadlineQueue) NextStart(now time.Time) (time.Duration, bool) {
+	if len(q.waiting) == 0 || len(q.running) >= q.slots {
+		return 0, false
+	}
+	return q.limit.wait(now, 0), true
+}
+
+// Dispatch returns the ids of the waiting requests that start.
+func (q *DeadlineQueue) Dispatch(now time.Time) []uint64 { return q.dispatch(now) }
+
+// RemoveUnservable removes the waiting requests that the request limit keeps from starting in time, since it was lowered or
+// requests of better ranks arrived. It returns their ids.
+func (q *DeadlineQueue) RemoveUnservable(now time.Time) []uint64 {
+	if !q.limit.active() {
+		return nil
+	}
+	var removed []uint64
+	kept := q.waiting[:0]
+	for _, e := range q.waiting {
+		if now.Add(q.limit.wait(now, len(kept))).After(e.latestStart) {
+			removed = append(removed, e.request.id)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+	return removed
+}
+
 // ServiceTimeBound is an estimated upper bound of the request's service time; single requests may exceed it.
 func (q *DeadlineQueue) ServiceTimeBound(r SlotRequest) time.Duration {
 	return seconds(q.serviceTimeBoundSeconds(r))
 }
 
 // Backlog is the expected wait of a request that arrives now behind all others; 0 while a slot is free.
-func (q *DeadlineQueue) Backlog() time.Duration {
+func (q *DeadlineQueue) Backlog(now time.Time) time.Duration {
 	if len(q.running) < q.slots {
-		return 0
+		return q.limit.wait(now, len(q.waiting))
 	}
-	return q.RetryAfter()
+	return q.expectedWait(now, len(q.waiting), SlotRequest{})
 }
 
 // Close makes the queue refuse all later requests with a reason. ReasonNone opens it again.
@@ -176,21 +219,23 @@
 	}
 	r.late = !r.nested && now.Add(seconds(q.serviceTimeBoundSeconds(r))).After(r.softDeadline)
 	e := &deadlineEntry{request: r}
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
+	if len(q.running) < q.slots && len(q.waiting) == 0 && q.limit.take(now) {
 		q.start(now, e)
 		q.overtakingLoad.add(now, r, q.meanServiceSeconds(r.route, r))
 		return AdmissionDecision{result: AdmissionRun}
 	}
 	position, _ := slices.BinarySearchFunc(q.waiting, e, compareEntries)
 	// Overtaking requests take a fraction of the slots; the requests ahead get only the rest.
-	wait := time.Duration(float64(q.expectedWait(position, r)) / (1 - q.overtakingLoad.fraction(now, r, q.slots)))
-	latestStart := q.latestStart(now, r)
-	if now.Add(wait).After(latestStart) {
-		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: q.expectedWait(len(q.waiting), r)}
+	overtaken := q.overtakingLoad.fraction(now, r, q.limit.slots(q.slots, q.meanServiceSeconds("", r)))
+	wait := time.Duration(float64(q.expectedWait(now, position, r)) / (1 - overtaken))
+	e.latestStart = q.latestStart(now, r)
+	if now.Add(wait).After(e.latestStart) {
+		retryAfter := q.limit.returnAfter(now, q.expectedWait(now, len(q.waiting), r))
+		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: retryAfter}
 	}
 	q.waiting = slices.Insert(q.waiting, position, e)
 	q.overtakingLoad.add(now, r, q.meanServiceSeconds(r.route, r))
-	return AdmissionDecision{result: AdmissionWait, waitUntil: latestStart}
+	return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
 }
 
 // latestStart is the time by which a request must have started: early enough for its soft deadline, or after the
@@ -218,14 +263,18 @@
 	return defaultServiceTimeFraction * r.latencyObjective.Seconds()
 }
 
-// expectedWait is the wait of a request at a position of the waiting list. It includes the mean time until a
-// slot becomes free.
-func (q *DeadlineQueue) expectedWait(position int, r SlotRequest) time.Duration {
+// expectedWait is the wait of a request at a position of the waiting list: for the request limit, or for the mean time
+// until a slot becomes free.
+func (q *DeadlineQueue) expectedWait(now time.Time, position int, r SlotRequest) time.Duration {
+	limitWait := q.limit.wait(now, position)
+	if position < q.slots-len(q.running) {
+		return limitWait
+	}
 	work := q.meanServiceSeconds("", r)
 	for _, e := range q.waiting[:position] {
 		work += q.meanServiceSeconds(e.request.route, e.request)
 	}
-	return seconds(work / float64(q.slots))
+	return max(limitWait, seconds(work/float64(q.slots)))
 }
 
 // meanServiceSeconds is the mean service time of a route. Without observations of the route it is the mean of all
@@ -301,14 +350,14 @@
 	return true
 }
 
-// RetryAfter is the expected wait of a request at the end of the queue.
-func (q *DeadlineQueue) RetryAfter() time.Duration {
-	return q.expectedWait(len(q.waiting), SlotRequest{})
+// RetryAfter is when a refused request should come back: after the expected wait at the end of the queue.
+func (q *DeadlineQueue) RetryAfter(now time.Time) time.Duration {
+	return q.limit.returnAfter(now, q.expectedWait(now, len(q.waiting), SlotRequest{}))
 }
 
 func (q *DeadlineQueue) dispatch(now time.Time) []uint64 {
 	var started []uint64
-	for len(q.running) < q.slots && len(q.waiting) > 0 {
+	for len(q.running) < q.slots && len(q.waiting) > 0 && q.limit.take(now) {
 		e := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		q.start(now, e)
--- a/basillift/bladmit/overtakingload.go
+++ b/basillift/bladmit/overtakingload.go
@@ -50,7 +50,7 @@
 
 // fraction is the fraction of the slots that is expected to go to requests that arrive after the given one and
 // precede it.
-func (l overtakingLoad) fraction(now time.Time, request SlotRequest, slots int) float64 {
+func (l overtakingLoad) fraction(now time.Time, request SlotRequest, slots float64) float64 {
 	if request.nested {
 		return 0
 	}
@@ -60,5 +60,5 @@
 			sum += r.at(now)
 		}
 	}
-	return min(maxOvertakingFraction, sum/float64(slots))
+	return min(maxOvertakingFraction, sum/slots)
 }
--- a/basillift/blbalance/balancer.go
+++ b/basillift/blbalance/balancer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladvisory"
 	"basillift.dev/basillift/blfleet"
 )
 
@@ -29,6 +30,8 @@
 	defaultServiceTime = 50 * time.Millisecond
 	// defaultSlots is assumed for a target that does not declare its number of slots.
 	defaultSlots = 8
+	// minUsableSlots bounds the expected wait for a target that accepts almost no requests.
+	minUsableSlots = 0.01
 	// warmupFactor multiplies the service time of a target that has just started.
 	warmupFactor = 2
 	// loadReportLifetime is how long a load report is used. A busy target sends a few answers in this time, each
@@ -91,11 +94,13 @@
 // Balancer chooses targets for the requests of one daemon and tracks their load and failures. It is safe for
 // concurrent use.
 type Balancer struct {
-	mutex   sync.Mutex
-	domain  basillift.FailureDomain
-	rnd     *rand.Rand
-	targets map[string]*targetState
-	domains map[basillift.FailureDomain]*domainState
+	mutex  sync.Mutex
+	domain basillift.FailureDomain
+	// advisories is what the targets say about themselves.
+	advisories *bladvisory.Tracker
+	rnd        *rand.Rand
+	targets    map[string]*targetState
+	domains    map[basillift.FailureDomain]*domainState
 	// routeFactors holds the response time of each route, relative to the mean service time of its targets.
 	routeFactors map[string]float64
 }
@@ -120,9 +125,9 @@
 	lastConsidered   time.Time
 }
 
-// New returns a balancer for a daemon in the given failure domain.
-func New(domain basillift.FailureDomain, rnd *rand.Rand) *Balancer {
-	return &Balancer{domain: domain, rnd: rnd, targets: make(map[string]*targetState), domains: make(map[basillift.FailureDomain]*domainState), routeFactors: make(map[string]float64)}
+// New returns a balancer for a daemon in the given failure domain, which asks the advisories what targets say about themselves.
+func New(domain basillift.FailureDomain, advisories *bladvisory.Tracker, rnd *rand.Rand) *Balancer {
+	return &Balancer{domain: domain, advisories: advisories, rnd: rnd, targets: make(map[string]*targetState), domains: make(map[basillift.FailureDomain]*domainState), routeFactors: make(map[string]float64)}
 }
 
 // Choose returns the cheapest of a few random targets that are not excluded, or false if none can be used.
@@ -196,20 +201,18 @@
 func (b *Balancer) cost(now time.Time, t *blfleet.Target, request Request) float64 {
 	e := t.Endpoint()
 	state := b.state(now, e.Instance())
-	slots, pending := defaultSlots, state.inFlight
-	if e.Slots() > 0 {
-		slots = e.Slots()
-	}
+	pending := state.inFlight
 	if now.Sub(state.reportedAt) < loadReportLifetime {
 		pending = max(pending, state.load.Running()+state.load.Queued()+state.inFlight-state.inFlightAtReport)
 	}
 	serviceSeconds := state.serviceSeconds(now, t)
+	slots := b.usableSlots(now, e, serviceSeconds)
 	responseSeconds := serviceSeconds * b.routeFactor(request.route)
-	responseSeconds += serviceSeconds * float64(max(0, pending+1-slots)) / float64(slots)
+	responseSeconds += float64(serviceSeconds * max(0, float64(pending+1)-slots) / slots)
 	if backlog, slow := state.load.SlowLink(); slow && request.bytes >= LargeBodyBytes {
 		responseSeconds += max(0, backlog-now.Sub(state.reportedAt)).Seconds()
 	}
-	cost := state.failureRate + utilizationCost*float64(pending)/float64(slots)
+	cost := state.failureRate + float64(utilizationCost*float64(pending)/slots)
 	if e.Domain() != b.domain {
 		responseSeconds += remoteRoundTrip.Seconds()
 		cost += remoteByteCost * float64(request.bytes)
@@ -217,6 +220,19 @@
 	return cost + lateAnswerLoss*lateProbability(responseSeconds, request.softDeadline.Sub(now).Seconds()) + utilizationCost*responseSeconds
 }
 
+// usableSlots is how many requests a target runs at once: those for which it has slots, or fewer if it accepts too few per
+// second to keep its slots busy.
+func (b *Balancer) usableSlots(now time.Time, e basillift.Endpoint, serviceSeconds float64) float64 {
+	slots := float64(defaultSlots)
+	if e.Slots() > 0 {
+		slots = float64(e.Slots())
+	}
+	if perSecond, limited := b.advisories.Limit(now, e); limited {
+		slots = min(slots, max(minUsableSlots, perSecond*serviceSeconds))
+	}
+	return slots
+}
+
 // serviceSeconds returns the expected mean service time of a target.
 func (s *targetState) serviceSeconds(now time.Time, t *blfleet.Target) float64 {
 	serviceTime := defaultServiceTime
@@ -368,6 +384,9 @@
 	if b.paused(now, e) {
 		status = "paused"
 	}
+	if perSecond, limited := b.advisories.Limit(now, e); limited {
+		status += fmt.Sprintf(", accepts %.3g requests per second", perSecond)
+	}
 	report := "no load report"
 	if !state.reportedAt.IsZero() {
 		report = fmt.Sprintf("%d running and %d queued on %d slots, mean service time %s, reported %s ago", state.load.Running(), state.load.Queued(),
--- a/basillift/blbalance/balancer_test.go
+++ b/basillift/blbalance/balancer_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladvisory"
 	"basillift.dev/basillift/blfleet"
 )
 
@@ -28,7 +30,7 @@
 	return f.Targets("s")
 }
 
-func newBalancer() *Balancer { return New("near", rand.New(rand.NewSource(1))) }
+func newBalancer() *Balancer { return New("near", bladvisory.New(), rand.New(rand.NewSource(1))) }
 
 func newRequest(bytes int) Request {
 	return NewRequest("route", bytes, begin.Add(300*time.Millisecond))
@@ -149,3 +151,12 @@
 		is.True(!found)
 	})
 }
+
+// Guards against choices that ignore how many requests a target accepts, also where its load report is old.
+func TestLimitedTargetsGetFewerRequests(t *testing.T) {
+	b, targets := newBalancer(), fleetOf(2, 0)
+	limited := targets[0].Endpoint()
+	b.advisories.ObserveReport(begin, limited, basillift.NewAdvisory().WithRequestLimit(1))
+	assertAllOn(t, b.countChoices(begin, targets, newRequest(0)), "i01")
+	is.New(t).True(strings.Contains(b.Explain(begin, targets[0], newRequest(0)), "accepts 1 requests per second"))
+}
--- a/basillift/blforwarder/admission.go
+++ b/basillift/blforwarder/admission.go
@@ -148,5 +148,5 @@
 func (ad *admission) setSlots(now time.Time, slots int) {
 	ad.mutex.Lock()
 	defer ad.mutex.Unlock()
-	ad.notify(ad.queue.SetSlots(now, slots))
+	ad.notify(now, ad.queue.SetSlots(now, slots))
 }
--- /dev/null
+++ b/basillift/blforwarder/advisories.go
@@ -0,0 +1,72 @@
+package blforwarder
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllog"
+)
+
+// parseAdvisory reads what a target says about itself in an answer. valid is false if a header has no valid value.
+func parseAdvisory(names basillift.HeaderNames, a *answer) (advisory basillift.Advisory, valid bool) {
+	advisory = basillift.NewAdvisory()
+	text := a.header(names.Limit())
+	if text == "" {
+		return advisory, true
+	}
+	perSecond, valid := parseRequestLimit(text)
+	if !valid {
+		return advisory, false
+	}
+	return advisory.WithRequestLimit(perSecond), true
+}
+
+// parseRequestLimit parses a decimal number of requests per second, 0 or more.
+func parseRequestLimit(text string) (perSecond float64, valid bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	return perSecond, err == nil && !math.IsInf(perSecond, 0) && perSecond >= 0
+}
+
+// ownTarget returns the entry of the VM's own target, or one with the instance alone if the entry is not known.
+func (f *Forwarder) ownTarget(instance string) basillift.Endpoint {
+	if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known && (instance == "" || e.Instance() == instance) {
+		return e
+	}
+	return basillift.NewEndpoint(instance, f.settings.service, f.settings.targetAddress, f.settings.domain, 0, basillift.TargetReady)
+}
+
+// observeOwnAnswer records what the VM's own target says about itself in an answer. An answer without the seal did not come
+// from the target unless it carries an advisory: refusals have no seal.
+func (f *Forwarder) observeOwnAnswer(now time.Time, instance string, a *answer) {
+	advisory, valid := parseAdvisory(f.settings.headerNames, a)
+	_, limited := advisory.RequestLimit()
+	if !valid || !limited && a.header(f.settings.headerNames.Seal()) == "" {
+		return
+	}
+	e := f.ownTarget(instance)
+	changed := f.advisories.Observe(now, e, advisory)
+	f.applyRequestLimit(now, e)
+	if changed && f.log != nil {
+		perSecond, limited := f.advisories.Limit(now, e)
+		f.log.Event(bllog.TargetLimited()).Str("instance", e.Instance()).Bool("limited", limited).Float64("requests_per_second", perSecond).Send()
+	}
+}
+
+// observeReportedLimit records the limit that another daemon knows of the VM's own target. A daemon that has just started
+// learns it so before it sends a request to its target.
+func (f *Forwarder) observeReportedLimit(now time.Time, meta requestMetadata) {
+	if _, limited := meta.advisory.RequestLimit(); limited {
+		e := f.ownTarget(meta.instance)
+		f.advisories.ObserveReport(now, e, meta.advisory)
+		f.applyRequestLimit(now, e)
+	}
+}
+
+// applyRequestLimit makes the admission keep the limit of the VM's own target. The daemon beside a target counts all
+// requests to it, from all VMs.
+func (f *Forwarder) applyRequestLimit(now time.Time, e basillift.Endpoint) {
+	perSecond, limited := f.advisories.Limit(now, e)
+	f.admission.setRequestLimit(now, perSecond, limited)
+}
--- /dev/null
+++ b/basillift/blforwarder/advisories_test.go
@@ -0,0 +1,139 @@
+package blforwarder
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmit"
+)
+
+// answerWith returns a script that answers like answerOK, with a header field in addition.
+func answerWith(field string) script {
+	return func(w net.Conn, r *http.Request, _ []byte) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n%s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"), field)
+		return err == nil
+	}
+}
+
+func (f *fakeTarget) total() (runs int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, n := range f.runs {
+		runs += n
+	}
+	return runs
+}
+
+// pressFor sends requests through all daemons, one after the other on each connection, for the given time. It returns how
+// many were answered 200 and 503.
+func (m *mesh) pressFor(t *testing.T, period time.Duration, connsPerDaemon int) (served, refused int) {
+	t.Helper()
+	var mutex sync.Mutex
+	var conns sync.WaitGroup
+	end := time.Now().Add(period)
+	for daemon := range m.forwarders {
+		for k := range connsPerDaemon {
+			c := m.dial(t, daemon)
+			conns.Go(func() {
+				for i := 0; time.Now().Before(end); i++ {
+					c.send(get(fmt.Sprintf("%d-%d-%d", daemon, k, i), "/get/x"))
+					a := c.read()
+					mutex.Lock()
+					if a.status == http.StatusOK {
+						served++
+					} else {
+						refused++
+					}
+					mutex.Unlock()
+				}
+			})
+		}
+	}
+	conns.Wait()
+	return served, refused
+}
+
+// Guards against a target that gets more requests than it accepts because each daemon sends as if it were alone.
+func TestRequestLimitCountsAllDaemons(t *testing.T) {
+	const perSecond, connsPerDaemon = 20.0, 4
+	limited := startTarget(t, answerWith("X-Limit: 20"))
+	m := startMesh(t, limited, limited, limited)
+	// Only the first daemon is beside the target.
+	for i := 1; i <= 2; i++ {
+		m.fleet.Apply(time.Now(), removalOf(fmt.Sprintf("t%d", i), 10))
+		m.forwarders[i].settings.targetAddress = "127.0.0.1:1"
+	}
+	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry("t0", 20).WithEndpoint(m.endpointOf(0, limited)))
+	began := time.Now()
+	served, refused := m.pressFor(t, 2*time.Second, connsPerDaemon)
+	// Requests that are sent before the first answer know no limit.
+	accepted := perSecond*time.Since(began).Seconds() + perSecond/4 + float64(connsPerDaemon*len(m.forwarders))
+	if got := limited.total(); float64(got) > accepted {
+		t.Errorf("the target got %d requests, want at most %.1f", got, accepted)
+	}
+	is := is.New(t)
+	is.True(served > 0)
+	is.True(refused > 0)
+	for _, f := range m.forwarders {
+		got, known := f.advisories.Limit(time.Now(), m.endpointOf(0, limited))
+		is.True(known)
+		is.Equal(got, perSecond)
+	}
+}
+
+// Guards against a burst of requests to a limited target after the daemon beside it has started again.
+func TestRestartedDaemonLearnsRequestLimit(t *testing.T) {
+	is := is.New(t)
+	m := startMesh(t, startTarget(t, answerOK))
+	f, now := m.forwarders[0], time.Now()
+	meta := requestMetadata{instance: "i0", advisory: basillift.NewAdvisory().WithRequestLimit(1)}
+	received, ok := parseMetadata(meta.format(now), now)
+	is.True(ok)
+	f.observeReportedLimit(now, received)
+	running := 0
+	for id := uint64(1); id <= 4; id++ {
+		r := bladmit.NewSlotRequest(id, "r", 1, now.Add(time.Second), now.Add(time.Second)).WithLatencyObjective(time.Second)
+		if f.admission.queue.Arrive(now, r).Result() == bladmit.AdmissionRun {
+			running++
+		}
+	}
+	is.Equal(running, 1)
+}
+
+func TestParseAdvisory(t *testing.T) {
+	for text, want := range map[string]float64{"20": 20, "0.25": 0.25, "0": 0, "": -1, "-1": -2, "x": -2, "NaN": -2, "Inf": -2} {
+		t.Run("limit "+text, func(t *testing.T) {
+			a := &answer{}
+			if text != "" {
+				a.fields = []field{{"x-limit", text}}
+			}
+			advisory, valid := parseAdvisory(testHeaderNames, a)
+			got, limited := advisory.RequestLimit()
+			is := is.New(t)
+			is.Equal(valid, want > -2)
+			is.Equal(limited, want >= 0)
+			is.True(!limited || got == want)
+		})
+	}
+}
+
+func TestLoadReportCarriesRequestLimit(t *testing.T) {
+	plain := basillift.NewLoad(1, 2, 3, time.Second)
+	for name, load := range map[string]basillift.Load{"fast link": plain, "slow link": plain.WithSlowLink(time.Second)} {
+		t.Run(name, func(t *testing.T) {
+			load = load.WithAdvisory(basillift.NewAdvisory().WithRequestLimit(25.8))
+			got := parseLoad(formatLoad(load))
+			is := is.New(t)
+			is.True(got != nil)
+			is.Equal(*got, load)
+		})
+	}
+	is.New(t).True(parseLoad("1 2 3 4 limit=x") != nil)
+}
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -225,10 +225,13 @@
 	instance := target.Endpoint().Instance()
 	rr.triedInstances = append(rr.triedInstances, instance)
 	reportAge := f.balancer.ReportAge(now, instance)
-	rr.metadata.instance = instance
+	rr.metadata.instance, rr.metadata.advisory = instance, f.advisories.Advisory(now, target.Endpoint())
 	f.balancer.Started(now, target)
 	a, result := c.send(ctx, rr, target)
 	ended := time.Now()
+	if a.load != nil {
+		f.advisories.ObserveReport(ended, target.Endpoint(), a.load.Advisory())
+	}
 	f.balancer.Ended(ended, target, query, balancerResult(ctx, result, a.timedOut), ended.Sub(now), a.load)
 	f.counters.countAttempt(result)
 	rr.nestedCall = rr.nestedCall || a.nestedCall
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -27,6 +27,7 @@
 var testHeaderNames = basillift.NewHeaderNames().
 	WithRequest("X-Id", "X-Deadline", "X-Instance", "X-Caller").
 	WithAnswer("X-Seal", "X-Not-Run").
+	WithAdvisory("X-Limit").
 	WithReady("/ready")
 
 // script answers one request of a fake target by writing bytes to its connection. It returns false to close the
@@ -124,6 +125,7 @@
 type mesh struct {
 	forwarders      []*Forwarder
 	callerAddresses []string
+	daemonAddresses []string
 	fleet           *blfleet.Fleet
 	tables          *bltable.Holder
 }
@@ -164,8 +166,7 @@
 func (m *mesh) start(t *testing.T, i int, f *fakeTarget) {
 	t.Helper()
 	const free = "127.0.0.1:0"
-	target := f.listener.Addr().String()
-	s := NewSettings(free, free, free).WithTarget(target, "catalogue", "a").WithHeaderNames(testHeaderNames).WithRetryAllowance(1, 100)
+	s := NewSettings(free, free, free).WithTarget(f.listener.Addr().String(), "catalogue", "a").WithHeaderNames(testHeaderNames).WithRetryAllowance(1, 100)
 	fw := New(s, m.tables, m.fleet, nil, rand.New(rand.NewSource(int64(i)+1)))
 	fw.SetRevisionGossip(fixedGossip{})
 	fw.SetFeedServer(fakeFeed{})
@@ -178,10 +179,16 @@
 		cancel()
 		is.New(t).NoErr(<-done)
 	})
-	e := basillift.NewEndpoint(fmt.Sprintf("i%d", i), "catalogue", target, "a", 4, basillift.TargetReady).WithDaemon(daemonAddress)
-	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), uint64(i)+1).WithEndpoint(e))
 	m.forwarders = append(m.forwarders, fw)
 	m.callerAddresses = append(m.callerAddresses, callerAddress)
+	m.daemonAddresses = append(m.daemonAddresses, daemonAddress)
+	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), uint64(i)+1).WithEndpoint(m.endpointOf(i, f)))
+}
+
+// endpointOf returns the entry of a target with the given number.
+func (m *mesh) endpointOf(i int, f *fakeTarget) basillift.Endpoint {
+	return basillift.NewEndpoint(fmt.Sprintf("i%d", i), "catalogue", f.listener.Addr().String(), "a", 4, basillift.TargetReady).
+		WithDaemon(m.daemonAddresses[i])
 }
 
 // caller is one connection of a caller.
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmit"
+	"basillift.dev/basillift/bladvisory"
 	"basillift.dev/basillift/blbalance"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/bllog"
@@ -48,11 +49,14 @@
 	allowance *blretry.Allowance
 	pools     *blpool.Set
 	admission *admission
+	// advisories is what the targets say about themselves.
+	advisories *bladvisory.Tracker
 	// transfers is nil unless the VM's link is slow.
 	transfers    *transferQueue
 	answerSizes  *answerSizes
 	routeStats   *routeStats
 	elapsedWaits *bladmit.ElapsedWaitEstimator
+	log          *bllog.Logger
 	requestLog   *requestLog
 	counters     *counters
 	gossip       basillift.RevisionGossip
@@ -78,10 +82,11 @@
 
 // New returns a forwarder that routes by the holder's table to the targets of the fleet.
 func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *Forwarder {
+	advisories := bladvisory.New()
 	f := &Forwarder{
 		settings: s, tables: tables, fleet: fleet,
-		splitter: bltable.NewSplitter(rnd), balancer: blbalance.New(s.domain, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
+		splitter: bltable.NewSplitter(rnd), balancer: blbalance.New(s.domain, advisories, rand.New(rand.NewSource(rnd.Int63()))),
+		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
 	}
 	f.drainPeriod.Store(int64(s.drainPeriod))
 	f.feedContext, f.cancelFeeds = context.WithCancel(context.Background())
@@ -152,6 +157,7 @@
 			f.pools.Sweep(now)
 			f.fleet.Tick(now)
 			f.balancer.Forget(now, forgetAfter)
+			f.advisories.Forget(now)
 		}
 	}
 }
@@ -167,6 +173,7 @@
 func (f *Forwarder) TargetsChanged(now time.Time) {
 	if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known && e.Slots() > 0 {
 		f.admission.setSlots(now, e.Slots())
+		f.applyRequestLimit(now, e)
 	}
 	if t := f.tables.Current(); t != nil {
 		f.splitter.Retain(t)
--- a/basillift/blforwarder/headers.go
+++ b/basillift/blforwarder/headers.go
@@ -47,24 +47,33 @@
 
 func formatPercent(ratio float64) string { return strconv.Itoa(int(100 * ratio)) }
 
-// metadataFieldCount is the number of values in headerHop of a request.
+// metadataFieldCount is the number of values in headerHop of a request. One for a target that limits its requests has the
+// limit in addition.
 const metadataFieldCount = 12
 
 // format encodes the metadata for headerHop. Durations are in microseconds, and points in time are relative to now.
 func (rm requestMetadata) format(now time.Time) string {
-	return strings.Join([]string{
+	text := strings.Join([]string{
 		rm.instance, rm.route, strconv.Itoa(rm.rank), formatFlag(rm.retryable), formatMicroseconds(rm.latencyObjective),
 		formatMicroseconds(rm.softDeadline.Sub(now)), formatMicroseconds(rm.deadline.Sub(now)), strconv.FormatUint(rm.newestRevision, 10),
 		formatPercent(rm.servedRatio), strconv.Itoa(rm.parent.rank), formatPercent(rm.parent.servedRatio), formatPercent(rm.retryProbability),
 	}, " ")
+	if limit := formatLimit(rm.advisory); limit != "" {
+		text += " " + limit
+	}
+	return text
 }
 
 // parseMetadata is the inverse of format, for a request that arrived at the given time.
 func parseMetadata(text string, arrived time.Time) (requestMetadata, bool) {
 	fields := strings.Split(text, " ")
-	if len(fields) != metadataFieldCount {
+	if len(fields) != metadataFieldCount && len(fields) != metadataFieldCount+1 {
 		return requestMetadata{}, false
 	}
+	advisory := basillift.NewAdvisory()
+	if len(fields) > metadataFieldCount {
+		advisory = parseLimit(fields[metadataFieldCount])
+	}
 	var numbers [metadataFieldCount]int64
 	for i := 2; i < metadataFieldCount; i++ {
 		n, err := strconv.ParseInt(fields[i], 10, 64)
@@ -80,6 +89,7 @@
 		newestRevision: uint64(numbers[7]), servedRatio: float64(numbers[8]) / 100,
 		parent:           parentRequest{rank: int(numbers[9]), servedRatio: float64(numbers[10]) / 100},
 		retryProbability: float64(numbers[11]) / 100,
+		advisory:         advisory,
 	}, true
 }
 
@@ -107,7 +117,29 @@
 	a.nestedCall = fields[4] == formatFlag(true)
 }
 
-// loadFieldCount is the number of values in headerLoad. The report of a VM with a slow link has one more.
+// limitPrefix begins the value with the requests per second that a target accepts.
+const limitPrefix = "limit="
+
+// formatLimit encodes the request limit of an advisory; empty without one.
+func formatLimit(a basillift.Advisory) string {
+	if perSecond, limited := a.RequestLimit(); limited {
+		return limitPrefix + strconv.FormatFloat(perSecond, 'g', -1, 64)
+	}
+	return ""
+}
+
+// parseLimit is the inverse of formatLimit. It returns an advisory without a limit if the text is not valid.
+func parseLimit(text string) basillift.Advisory {
+	value, found := strings.CutPrefix(text, limitPrefix)
+	perSecond, valid := parseRequestLimit(value)
+	if !found || !valid {
+		return basillift.NewAdvisory()
+	}
+	return basillift.NewAdvisory().WithRequestLimit(perSecond)
+}
+
+// loadFieldCount is the number of values in headerLoad. The report of a VM with a slow link has one more, and that of a
+// target that limits its requests ends with the limit.
 const loadFieldCount = 4
 
 func formatLoad(l basillift.Load) string {
@@ -116,12 +148,19 @@
 	if backlog, slow := l.SlowLink(); slow {
 		text += " " + formatMicroseconds(backlog)
 	}
+	if limit := formatLimit(l.Advisory()); limit != "" {
+		text += " " + limit
+	}
 	return text
 }
 
 // parseLoad returns nil if the text is not a valid load report.
 func parseLoad(text string) *basillift.Load {
 	fields := strings.Fields(text)
+	advisory := basillift.NewAdvisory()
+	if last := len(fields) - 1; last >= 0 && strings.HasPrefix(fields[last], limitPrefix) {
+		fields, advisory = fields[:last], parseLimit(fields[last])
+	}
 	if len(fields) != loadFieldCount && len(fields) != loadFieldCount+1 {
 		return nil
 	}
@@ -137,6 +176,7 @@
 	if len(fields) > loadFieldCount {
 		l = l.WithSlowLink(time.Duration(numbers[loadFieldCount]) * time.Microsecond)
 	}
+	l = l.WithAdvisory(advisory)
 	return &l
 }
 
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -29,6 +29,10 @@
 	set.NewGauge("basillift_target_connections_opened", func() float64 {
 		return float64(f.pools.Of(f.settings.targetAddress).Opened())
 	})
+	set.NewGauge("basillift_target_limit_per_second", func() float64 {
+		perSecond, _ := f.advisories.Limit(time.Now(), f.ownTarget(""))
+		return perSecond
+	})
 	set.NewGauge("basillift_table_version", func() float64 {
 		if t := f.tables.Current(); t != nil {
 			return float64(t.Version())
--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -9,21 +9,33 @@
 	"basillift.dev/basillift/bladmit"
 )
 
+// noRequestLimit is the limit of a target that names none.
+const noRequestLimit = -1
+
+// minDispatchDelay is added where the next start is due already by rounding.
+const minDispatchDelay = time.Millisecond
+
 // slotQueue lets goroutines wait for a slot in a deadline queue.
 type slotQueue struct {
-	mutex   sync.Mutex
-	queue   *bladmit.DeadlineQueue
-	waiting map[uint64]chan struct{}
+	mutex sync.Mutex
+	queue *bladmit.DeadlineQueue
+	// waiting holds a channel for each waiting request. It receives true when the request gets its slot, and false when
+	// it is refused.
+	waiting map[uint64]chan bool
 	lastID  uint64
+	// requestLimit is the target's limit in requests per second; negative without a limit.
+	requestLimit float64
+	// dispatchTimer starts the next request that the request limit delays; nil if there is none.
+	dispatchTimer *time.Timer
 }
 
 func newSlotQueue(slots int) slotQueue {
-	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan struct{})}
+	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan bool), requestLimit: noRequestLimit}
 }
 
 // acquire waits for a slot. It returns the slot's id, or the refusal.
 func (sq *slotQueue) acquire(ctx context.Context, now time.Time, slotRequest func(id uint64) bladmit.SlotRequest) (id uint64, refusal *answer) {
-	id, decision, started := sq.enqueue(now, slotRequest)
+	id, decision, ended := sq.enqueue(now, slotRequest)
 	switch decision.Result() {
 	case bladmit.AdmissionRun:
 		return id, nil
@@ -33,24 +45,30 @@
 	timer := time.NewTimer(decision.WaitUntil().Sub(now))
 	defer timer.Stop()
 	select {
-	case <-started:
+	case started := <-ended:
+		if !started {
+			return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+		}
 		return id, nil
 	case <-timer.C:
 		if sq.withdraw(id) {
-			return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter())
+			return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
 		}
 	case <-ctx.Done():
 		if sq.withdraw(id) {
 			return 0, notRunAnswer(basillift.ReasonCallerGone, 0)
 		}
 	}
-	// The slot was assigned while the wait ended.
+	// The wait ended otherwise meanwhile.
+	if started := <-ended; !started {
+		return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+	}
 	return id, nil
 }
 
 // enqueue adds a request to the queue. It returns the request's id and the decision of the queue: run, wait or refuse.
-// The channel is closed when a waiting request gets its slot; nil if the decision is not to wait.
-func (sq *slotQueue) enqueue(now time.Time, slotRequest func(id uint64) bladmit.SlotRequest) (uint64, bladmit.AdmissionDecision, chan struct{}) {
+// The channel receives whether a waiting request got its slot; nil if the decision is not to wait.
+func (sq *slotQueue) enqueue(now time.Time, slotRequest func(id uint64) bladmit.SlotRequest) (uint64, bladmit.AdmissionDecision, chan bool) {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
 	sq.lastID++
@@ -59,9 +77,10 @@
 	if decision.Result() != bladmit.AdmissionWait {
 		return id, decision, nil
 	}
-	started := make(chan struct{})
-	sq.waiting[id] = started
-	return id, decision, started
+	ended := make(chan bool, 1)
+	sq.waiting[id] = ended
+	sq.notify(now, nil)
+	return id, decision, ended
 }
 
 // release frees a slot. observed is false if the request did not run to its end, so that its service time must not be
@@ -69,14 +88,50 @@
 func (sq *slotQueue) release(now time.Time, id uint64, observed bool) {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	sq.notify(sq.queue.Finish(now, id, observed))
+	sq.notify(now, sq.queue.Finish(now, id, observed))
+}
+
+// setRequestLimit sets how many requests per second the target accepts.
+func (sq *slotQueue) setRequestLimit(now time.Time, perSecond float64, limited bool) {
+	if !limited {
+		perSecond = noRequestLimit
+	}
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	if perSecond == sq.requestLimit {
+		return
+	}
+	sq.requestLimit = perSecond
+	sq.notify(now, sq.queue.SetRequestLimit(now, perSecond, limited))
 }
 
-func (sq *slotQueue) notify(started []uint64) {
+// notify tells waiting requests that they start, refuses those that cannot start in time any more, and sets the timer for
+// the next start. It must be called after each change of the queue.
+func (sq *slotQueue) notify(now time.Time, started []uint64) {
 	for _, id := range started {
-		close(sq.waiting[id])
-		delete(sq.waiting, id)
+		sq.endWait(id, true)
 	}
+	for _, id := range sq.queue.RemoveUnservable(now) {
+		sq.endWait(id, false)
+	}
+	if sq.dispatchTimer != nil {
+		sq.dispatchTimer.Stop()
+		sq.dispatchTimer = nil
+	}
+	if wait, limited := sq.queue.NextStart(now); limited {
+		sq.dispatchTimer = time.AfterFunc(max(minDispatchDelay, wait), func() { sq.dispatch(time.Now()) })
+	}
+}
+
+func (sq *slotQueue) endWait(id uint64, started bool) {
+	sq.waiting[id] <- started
+	delete(sq.waiting, id)
+}
+
+func (sq *slotQueue) dispatch(now time.Time) {
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	sq.notify(now, sq.queue.Dispatch(now))
 }
 
 func (sq *slotQueue) withdraw(id uint64) bool {
@@ -89,15 +144,14 @@
 	return true
 }
 
-func (sq *slotQueue) retryAfter() time.Duration {
+func (sq *slotQueue) retryAfter(now time.Time) time.Duration {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	return sq.queue.RetryAfter()
+	return sq.queue.RetryAfter(now)
 }
 
-func (sq *slotQueue) load() *basillift.Load {
+func (sq *slotQueue) load() basillift.Load {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	l := sq.queue.Load()
-	return &l
+	return sq.queue.Load()
 }
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -41,6 +41,8 @@
 	latencyObjective     time.Duration
 	softDeadline         time.Time
 	deadline             time.Time
+	// advisory is what the caller's daemon knows of the target.
+	advisory basillift.Advisory
 	// newestRevision is the newest revision of the registry that the caller's daemon has observed.
 	newestRevision uint64
 }
@@ -105,6 +107,7 @@
 	if refusal := t.checkAvailable(now, meta); refusal != nil {
 		return refusal
 	}
+	f.observeReportedLimit(now, meta)
 	meta = f.admission.classify(now, meta)
 	id, refusal := f.admission.acquire(ctx, now, r.header(f.settings.headerNames.RequestID()), meta)
 	if refusal != nil {
@@ -169,6 +172,9 @@
 	if err != nil {
 		return t.answerForError(time.Now(), e, err), false
 	}
+	if received.status != http.StatusMisdirectedRequest {
+		f.observeOwnAnswer(time.Now(), meta.instance, &received.answer)
+	}
 	return t.classifyAnswer(received, meta)
 }
 
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -55,10 +55,10 @@
 }
 
 // backlog returns how long the next large body has to wait.
-func (tq *transferQueue) backlog() time.Duration {
+func (tq *transferQueue) backlog(now time.Time) time.Duration {
 	tq.mutex.Lock()
 	defer tq.mutex.Unlock()
-	return tq.queue.Backlog()
+	return tq.queue.Backlog(now)
 }
 
 // serveReservation answers a daemon that asks whether it may send a large body. With a slow link it reserves the
@@ -86,12 +86,12 @@
 
 // loadReport returns the load of the target, with the backlog of the VM's link if that is slow.
 func (t *targetSide) loadReport() *basillift.Load {
-	l := t.forwarder.admission.load()
+	now := time.Now()
+	l := t.forwarder.admission.load().WithAdvisory(t.forwarder.advisories.Advisory(now, t.forwarder.ownTarget("")))
 	if t.forwarder.transfers != nil {
-		withLink := l.WithSlowLink(t.forwarder.transfers.backlog())
-		return &withLink
+		l = l.WithSlowLink(t.forwarder.transfers.backlog(now))
 	}
-	return l
+	return &l
 }
 
 // requestReservation asks a target's daemon for a reservation for a large body. A nil refusal means that it is granted.
--- a/basillift/blforwarder/transferqueue_test.go
+++ b/basillift/blforwarder/transferqueue_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladvisory"
 	"basillift.dev/basillift/blbalance"
 	"basillift.dev/basillift/blfleet"
 )
@@ -137,7 +138,7 @@
 func TestBalancerCountsLinkBacklog(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	balancer := blbalance.New("z", rand.New(rand.NewSource(1)))
+	balancer := blbalance.New("z", bladvisory.New(), rand.New(rand.NewSource(1)))
 	fleet := blfleet.New()
 	for i, backlog := range []time.Duration{700 * time.Millisecond, 0} {
 		instance := fmt.Sprintf("i%d", i)
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(),
-		MemberDied(), Paused(), TargetChanged(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
+		MemberDied(), Paused(), TargetChanged(), TargetLimited(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
 	}
 }
 
@@ -105,6 +105,12 @@
 // TargetChanged is logged when the state of the VM's target changes.
 func TargetChanged() Entry { return Entry{400, zerolog.InfoLevel, "target state changed", "none"} }
 
+// TargetLimited is logged when the VM's target begins or stops to limit the requests that it accepts, or changes the limit by
+// a tenth or more.
+func TargetLimited() Entry {
+	return Entry{401, zerolog.InfoLevel, "target changed its request limit", "find out why the target is short of resources if the limit stays"}
+}
+
 // NoticeFailed is logged when a notice cannot be delivered.
 func NoticeFailed() Entry {
 	return Entry{500, zerolog.WarnLevel, "notice not delivered", "check the setting notify and its receiver"}
--- a/basillift/headernames.go
+++ b/basillift/headernames.go
@@ -9,6 +9,7 @@
 	instance  string
 	notRun    string
 	caller    string
+	limit     string
 	readyPath string
 }
 
@@ -29,6 +30,12 @@
 	return h
 }
 
+// WithAdvisory sets the header with which a target limits the requests that it gets.
+func (h HeaderNames) WithAdvisory(limit string) HeaderNames {
+	h.limit = limit
+	return h
+}
+
 // WithReady sets the path that answers 200 while the daemon takes requests.
 func (h HeaderNames) WithReady(path string) HeaderNames {
 	h.readyPath = path
@@ -53,5 +60,8 @@
 // Caller names the header with the name of the calling service.
 func (h HeaderNames) Caller() string { return h.caller }
 
+// Limit names the header with the number of requests per second that a target accepts from all VMs together.
+func (h HeaderNames) Limit() string { return h.limit }
+
 // ReadyPath is the path that answers 200 while the daemon takes requests.
 func (h HeaderNames) ReadyPath() string { return h.readyPath }
--- a/basillift/load.go
+++ b/basillift/load.go
@@ -10,6 +10,7 @@
 	meanServiceTime time.Duration
 	slowLink        bool
 	backlog         time.Duration
+	advisory        Advisory
 }
 
 // NewLoad returns a load report of a target whose link is not slow; slots is 0 if it is not known.
@@ -37,3 +38,12 @@
 
 // SlowLink reports whether the VM's link is slow, and how long the next large body waits for the link.
 func (l Load) SlowLink() (backlog time.Duration, slow bool) { return l.backlog, l.slowLink }
+
+// WithAdvisory returns a copy with what the target last said about itself.
+func (l Load) WithAdvisory(a Advisory) Load {
+	l.advisory = a
+	return l
+}
+
+// Advisory is what the target last said about itself.
+func (l Load) Advisory() Advisory { return l.advisory }
