bladvisory: send nothing more to targets whose answers say that they leave

Callers would see requests at a target that is about to end (DRAIN): a target that leaves says so in its answers, but only the registry was heard, which may be silent, late or cut off for a VM. It belongs to the same class as the limit: what targets say in answers was dropped. Change: bladvisory.Tracker holds it for the run of the target. The balancer leaves such targets out for first attempts, retries and nested calls; the daemon beside the target refuses as after a draining entry. Load reports and requests carry it, so that a restarted daemon and callers that were refused know it. Event 402, a gauge, explain.

--- a/basillift/bladvisory/doc.go
+++ b/basillift/bladvisory/doc.go
@@ -12,4 +12,7 @@
 //	if perSecond, limited := tracker.Limit(now, endpoint); limited {
 //		// The target accepts perSecond requests per second from all VMs together.
 //	}
+//	if since, leaving := tracker.Leaving(endpoint); leaving {
+//		// The target has been leaving since then.
+//	}
 package bladvisory
--- a/basillift/bladvisory/tracker_test.go
+++ b/basillift/bladvisory/tracker_test.go
@@ -87,9 +87,58 @@
 
 func TestObserveReportsChanges(t *testing.T) {
 	is, tracker, e := is.New(t), New(), target(0)
-	is.True(!tracker.Observe(begin, e, basillift.NewAdvisory()))
-	is.True(tracker.Observe(begin, e, limitOf(20)))
-	is.True(!tracker.Observe(begin, e, limitOf(21)))
-	is.True(tracker.Observe(begin, e, limitOf(10)))
-	is.True(tracker.Observe(begin.Add(time.Minute), e, basillift.NewAdvisory()))
+	assertChange := func(a basillift.Advisory, after time.Duration, wantChanged, wantLeft bool) {
+		t.Helper()
+		changed, left := tracker.Observe(begin.Add(after), e, a)
+		is.Helper()
+		is.Equal(changed, wantChanged)
+		is.Equal(left, wantLeft)
+	}
+	assertChange(basillift.NewAdvisory(), 0, false, false)
+	assertChange(limitOf(20), 0, true, false)
+	assertChange(limitOf(21), 0, false, false)
+	assertChange(limitOf(10).WithLeaving(), 0, true, true)
+	assertChange(limitOf(10).WithLeaving(), 0, false, false)
+	assertChange(basillift.NewAdvisory(), time.Minute, true, false)
+}
+
+// assertLeaving checks whether a target counts as leaving, and since when.
+func assertLeaving(t *testing.T, tracker *Tracker, e basillift.Endpoint, want bool) {
+	t.Helper()
+	since, leaving := tracker.Leaving(e)
+	if leaving != want || leaving && !since.Equal(begin) {
+		t.Errorf("leaving %t since %s, want %t since %s", leaving, since, want, begin)
+	}
+	if reported := tracker.Advisory(begin, e).Leaving(); reported != want {
+		t.Errorf("advisory says leaving %t, want %t", reported, want)
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	e, leaving := target(0), basillift.NewAdvisory().WithLeaving()
+	t.Run("it holds for the whole run", func(t *testing.T) {
+		tracker := New()
+		tracker.Observe(begin, e, leaving)
+		tracker.Observe(begin.Add(time.Minute), e, leaving)
+		tracker.Observe(begin.Add(2*time.Minute), e, basillift.NewAdvisory())
+		assertLeaving(t, tracker, e, true)
+	})
+	t.Run("other daemons report it", func(t *testing.T) {
+		tracker := New()
+		tracker.ObserveReport(begin, e, leaving)
+		tracker.ObserveReport(begin.Add(time.Second), e, basillift.NewAdvisory())
+		assertLeaving(t, tracker, e, true)
+	})
+	t.Run("a new run is not leaving", func(t *testing.T) {
+		tracker := New()
+		tracker.Observe(begin, e, leaving)
+		assertLeaving(t, tracker, target(time.Second), false)
+		tracker.Observe(begin, target(time.Second), basillift.NewAdvisory())
+		is.New(t).Equal(tracker.leaving.Load(), int64(0))
+	})
+	t.Run("other targets are not leaving", func(t *testing.T) {
+		tracker := New()
+		tracker.Observe(begin, e, leaving)
+		assertLeaving(t, tracker, basillift.NewEndpoint("i2", "s", "x:2", "a", 4, basillift.TargetReady), false)
+	})
 }
--- a/basillift/blbalance/balancer.go
+++ b/basillift/blbalance/balancer.go
@@ -130,7 +130,7 @@
 	return &Balancer{domain: domain, advisories: advisories, rnd: rnd, targets: make(map[string]*targetState), domains: make(map[basillift.FailureDomain]*domainState), routeFactors: make(map[string]float64)}
 }
 
-// Choose returns the cheapest of a few random targets that are not excluded, or false if none can be used.
+// Choose returns the cheapest of a few random targets that are neither excluded nor leaving, or false if none can be used.
 func (b *Balancer) Choose(now time.Time, targets []*blfleet.Target, exclude []string, request Request) (*blfleet.Target, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -138,6 +138,9 @@
 	anyUsable := false
 	for _, t := range targets {
 		e := t.Endpoint()
+		if _, leaving := b.advisories.Leaving(e); leaving {
+			continue
+		}
 		isPaused := b.paused(now, e)
 		anyUsable = anyUsable || !isPaused
 		switch {
@@ -384,6 +387,9 @@
 	if b.paused(now, e) {
 		status = "paused"
 	}
+	if _, leaving := b.advisories.Leaving(e); leaving {
+		status = "leaving"
+	}
 	if perSecond, limited := b.advisories.Limit(now, e); limited {
 		status += fmt.Sprintf(", accepts %.3g requests per second", perSecond)
 	}
--- a/basillift/blbalance/balancer_test.go
+++ b/basillift/blbalance/balancer_test.go
@@ -160,3 +160,11 @@
 	assertAllOn(t, b.countChoices(begin, targets, newRequest(0)), "i01")
 	is.New(t).True(strings.Contains(b.Explain(begin, targets[0], newRequest(0)), "accepts 1 requests per second"))
 }
+
+func TestLeavingTargetsAreNotChosen(t *testing.T) {
+	b, targets := newBalancer(), fleetOf(2, 0)
+	b.advisories.ObserveReport(begin, targets[0].Endpoint(), basillift.NewAdvisory().WithLeaving())
+	assertAllOn(t, b.countChoices(begin, targets, newRequest(0)), "i01")
+	_, found := b.Choose(begin, targets[:1], nil, newRequest(0))
+	is.New(t).True(!found)
+}
--- a/basillift/blforwarder/advisories.go
+++ b/basillift/blforwarder/advisories.go
@@ -9,18 +9,19 @@
 	"basillift.dev/basillift/bllog"
 )
 
-// parseAdvisory reads what a target says about itself in an answer. valid is false if a header has no valid value.
+// parseAdvisory reads what a target says about itself in an answer. valid is false if it names a limit that is no number.
 func parseAdvisory(names basillift.HeaderNames, a *answer) (advisory basillift.Advisory, valid bool) {
-	advisory = basillift.NewAdvisory()
-	text := a.header(names.Limit())
-	if text == "" {
-		return advisory, true
+	advisory, valid = basillift.NewAdvisory(), true
+	if a.header(names.Leaving()) == "1" {
+		advisory = advisory.WithLeaving()
 	}
-	perSecond, valid := parseRequestLimit(text)
-	if !valid {
-		return advisory, false
+	if text := a.header(names.Limit()); text != "" {
+		var perSecond float64
+		if perSecond, valid = parseRequestLimit(text); valid {
+			advisory = advisory.WithRequestLimit(perSecond)
+		}
 	}
-	return advisory.WithRequestLimit(perSecond), true
+	return advisory, valid
 }
 
 // parseRequestLimit parses a decimal number of requests per second, 0 or more.
@@ -41,23 +42,25 @@
 // from the target unless it carries an advisory: refusals have no seal.
 func (f *Forwarder) observeOwnAnswer(now time.Time, instance string, a *answer) {
 	advisory, valid := parseAdvisory(f.settings.headerNames, a)
-	_, limited := advisory.RequestLimit()
-	if !valid || !limited && a.header(f.settings.headerNames.Seal()) == "" {
+	if advisory.Empty() && (!valid || a.header(f.settings.headerNames.Seal()) == "") {
 		return
 	}
 	e := f.ownTarget(instance)
-	changed := f.advisories.Observe(now, e, advisory)
+	changed, left := f.advisories.Observe(now, e, advisory)
 	f.applyRequestLimit(now, e)
+	if left && f.log != nil {
+		f.log.Event(bllog.TargetLeaving()).Str("instance", e.Instance()).Send()
+	}
 	if changed && f.log != nil {
 		perSecond, limited := f.advisories.Limit(now, e)
 		f.log.Event(bllog.TargetLimited()).Str("instance", e.Instance()).Bool("limited", limited).Float64("requests_per_second", perSecond).Send()
 	}
 }
 
-// observeReportedLimit records the limit that another daemon knows of the VM's own target. A daemon that has just started
-// learns it so before it sends a request to its target.
-func (f *Forwarder) observeReportedLimit(now time.Time, meta requestMetadata) {
-	if _, limited := meta.advisory.RequestLimit(); limited {
+// observeCallerAdvisory records what another daemon knows of the VM's own target. A daemon that has just started learns it
+// so before it sends a request to its target.
+func (f *Forwarder) observeCallerAdvisory(now time.Time, meta requestMetadata) {
+	if !meta.advisory.Empty() {
 		e := f.ownTarget(meta.instance)
 		f.advisories.ObserveReport(now, e, meta.advisory)
 		f.applyRequestLimit(now, e)
@@ -70,3 +73,12 @@
 	perSecond, limited := f.advisories.Limit(now, e)
 	f.admission.setRequestLimit(now, perSecond, limited)
 }
+
+// ownTargetLeaving returns since when the VM's own target is known to be leaving: by the registry, or by its answers.
+func (f *Forwarder) ownTargetLeaving(instance string) (since time.Time, leaving bool) {
+	_, since, _ = f.fleet.EndpointAt(f.settings.targetAddress)
+	if advised, known := f.advisories.Leaving(f.ownTarget(instance)); known && (since.IsZero() || advised.Before(since)) {
+		since = advised
+	}
+	return since, !since.IsZero()
+}
--- a/basillift/blforwarder/advisories_test.go
+++ b/basillift/blforwarder/advisories_test.go
@@ -96,7 +96,7 @@
 	meta := requestMetadata{instance: "i0", advisory: basillift.NewAdvisory().WithRequestLimit(1)}
 	received, ok := parseMetadata(meta.format(now), now)
 	is.True(ok)
-	f.observeReportedLimit(now, received)
+	f.observeCallerAdvisory(now, received)
 	running := 0
 	for id := uint64(1); id <= 4; id++ {
 		r := bladmit.NewSlotRequest(id, "r", 1, now.Add(time.Second), now.Add(time.Second)).WithLatencyObjective(time.Second)
@@ -124,16 +124,60 @@
 	}
 }
 
-func TestLoadReportCarriesRequestLimit(t *testing.T) {
+func TestLoadReportCarriesAdvisory(t *testing.T) {
 	plain := basillift.NewLoad(1, 2, 3, time.Second)
 	for name, load := range map[string]basillift.Load{"fast link": plain, "slow link": plain.WithSlowLink(time.Second)} {
 		t.Run(name, func(t *testing.T) {
-			load = load.WithAdvisory(basillift.NewAdvisory().WithRequestLimit(25.8))
+			load = load.WithAdvisory(basillift.NewAdvisory().WithRequestLimit(25.8).WithLeaving())
 			got := parseLoad(formatLoad(load))
 			is := is.New(t)
 			is.True(got != nil)
 			is.Equal(*got, load)
 		})
 	}
-	is.New(t).True(parseLoad("1 2 3 4 limit=x") != nil)
+	is.New(t).True(parseLoad("1 2 3 4 limit=x") == nil)
+}
+
+// Guards against requests to a target whose answers said that it is leaving, while the registry does not.
+func TestLeavingTargetGetsNoMoreRequests(t *testing.T) {
+	for name, daemon := range map[string]int{"beside the target": 0, "another daemon": 1} {
+		t.Run(name, func(t *testing.T) {
+			leaving, staying := startTarget(t, answerWith("X-Leaving: 1")), startTarget(t, answerOK)
+			m := startMesh(t, leaving, staying)
+			m.fleet.Apply(time.Now(), removalOf("t1", 10))
+			c := m.dial(t, daemon)
+			c.send(get("first", "/get/x"))
+			a := c.assertAnswer(http.StatusOK, "")
+			is.New(t).Equal(a.header.Get("X-Leaving"), "1")
+			m.fleet.Apply(time.Now(), basillift.NewRegistryEntry("t1", 20).WithEndpoint(m.endpointOf(1, staying)))
+			for i := range 100 {
+				c.send(get(fmt.Sprint(i), "/get/x"))
+				c.assertAnswer(http.StatusOK, "")
+			}
+			is.New(t).Equal(leaving.total(), 1)
+		})
+	}
+}
+
+// Guards against a target's daemon that lets requests through for longer than a leaving target may be used, for callers
+// that do not know that it is leaving.
+func TestLeavingTargetIsRefusedAfterDrainPeriod(t *testing.T) {
+	meta := requestMetadata{instance: "i0"}
+	said := &answer{fields: []field{{"X-Leaving", "1"}}}
+	fromCaller := requestMetadata{instance: "i0", advisory: basillift.NewAdvisory().WithLeaving()}
+	for name, observe := range map[string]func(f *Forwarder, now time.Time){
+		"the target says so":     func(f *Forwarder, now time.Time) { f.observeOwnAnswer(now, "i0", said) },
+		"a caller's daemon does": func(f *Forwarder, now time.Time) { f.observeCallerAdvisory(now, fromCaller) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, now := startMesh(t, startTarget(t, answerOK)).forwarders[0], time.Now()
+			observe(f, now)
+			is.Equal(f.targetSide.checkAvailable(now, meta), nil)
+			refusal := f.targetSide.checkAvailable(now.Add(f.settings.drainPeriod), meta)
+			is.True(refusal != nil)
+			is.Equal(refusal.reason, basillift.ReasonDraining)
+			is.Equal(f.targetSide.checkAvailable(now.Add(f.settings.drainPeriod), requestMetadata{instance: "i1"}), nil)
+		})
+	}
 }
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -27,7 +27,7 @@
 var testHeaderNames = basillift.NewHeaderNames().
 	WithRequest("X-Id", "X-Deadline", "X-Instance", "X-Caller").
 	WithAnswer("X-Seal", "X-Not-Run").
-	WithAdvisory("X-Limit").
+	WithAdvisory("X-Limit", "X-Leaving").
 	WithReady("/ready")
 
 // script answers one request of a fake target by writing bytes to its connection. It returns false to close the
--- a/basillift/blforwarder/headers.go
+++ b/basillift/blforwarder/headers.go
@@ -47,33 +47,24 @@
 
 func formatPercent(ratio float64) string { return strconv.Itoa(int(100 * ratio)) }
 
-// metadataFieldCount is the number of values in headerHop of a request. One for a target that limits its requests has the
-// limit in addition.
+// metadataFieldCount is the number of fixed values in headerHop of a request. An advisory may follow.
 const metadataFieldCount = 12
 
 // format encodes the metadata for headerHop. Durations are in microseconds, and points in time are relative to now.
 func (rm requestMetadata) format(now time.Time) string {
-	text := strings.Join([]string{
+	return strings.Join([]string{
 		rm.instance, rm.route, strconv.Itoa(rm.rank), formatFlag(rm.retryable), formatMicroseconds(rm.latencyObjective),
 		formatMicroseconds(rm.softDeadline.Sub(now)), formatMicroseconds(rm.deadline.Sub(now)), strconv.FormatUint(rm.newestRevision, 10),
 		formatPercent(rm.servedRatio), strconv.Itoa(rm.parent.rank), formatPercent(rm.parent.servedRatio), formatPercent(rm.retryProbability),
-	}, " ")
-	if limit := formatLimit(rm.advisory); limit != "" {
-		text += " " + limit
-	}
-	return text
+	}, " ") + formatAdvisory(rm.advisory)
 }
 
 // parseMetadata is the inverse of format, for a request that arrived at the given time.
 func parseMetadata(text string, arrived time.Time) (requestMetadata, bool) {
-	fields := strings.Split(text, " ")
-	if len(fields) != metadataFieldCount && len(fields) != metadataFieldCount+1 {
+	fields, advisory := cutAdvisory(strings.Split(text, " "))
+	if len(fields) != metadataFieldCount {
 		return requestMetadata{}, false
 	}
-	advisory := basillift.NewAdvisory()
-	if len(fields) > metadataFieldCount {
-		advisory = parseLimit(fields[metadataFieldCount])
-	}
 	var numbers [metadataFieldCount]int64
 	for i := 2; i < metadataFieldCount; i++ {
 		n, err := strconv.ParseInt(fields[i], 10, 64)
@@ -117,29 +108,44 @@
 	a.nestedCall = fields[4] == formatFlag(true)
 }
 
-// limitPrefix begins the value with the requests per second that a target accepts.
-const limitPrefix = "limit="
+// The words for an advisory, which follow the fixed values of a header.
+const (
+	limitPrefix = "limit="
+	leavingWord = "leaving"
+)
 
-// formatLimit encodes the request limit of an advisory; empty without one.
-func formatLimit(a basillift.Advisory) string {
+// formatAdvisory encodes an advisory as words, each with a space before it.
+func formatAdvisory(a basillift.Advisory) string {
+	text := ""
 	if perSecond, limited := a.RequestLimit(); limited {
-		return limitPrefix + strconv.FormatFloat(perSecond, 'g', -1, 64)
+		text += " " + limitPrefix + strconv.FormatFloat(perSecond, 'g', -1, 64)
 	}
-	return ""
+	if a.Leaving() {
+		text += " " + leavingWord
+	}
+	return text
 }
 
-// parseLimit is the inverse of formatLimit. It returns an advisory without a limit if the text is not valid.
-func parseLimit(text string) basillift.Advisory {
-	value, found := strings.CutPrefix(text, limitPrefix)
-	perSecond, valid := parseRequestLimit(value)
-	if !found || !valid {
-		return basillift.NewAdvisory()
+// cutAdvisory splits the values of a header into the fixed ones and the advisory that formatAdvisory added.
+func cutAdvisory(fields []string) (fixed []string, a basillift.Advisory) {
+	for fixed = fields; len(fixed) > 0; fixed = fixed[:len(fixed)-1] {
+		last := fixed[len(fixed)-1]
+		text, isLimit := strings.CutPrefix(last, limitPrefix)
+		perSecond, valid := parseRequestLimit(text)
+		switch {
+		case isLimit && valid:
+			a = a.WithRequestLimit(perSecond)
+		case last == leavingWord:
+			a = a.WithLeaving()
+		default:
+			return fixed, a
+		}
 	}
-	return basillift.NewAdvisory().WithRequestLimit(perSecond)
+	return fixed, a
 }
 
-// loadFieldCount is the number of values in headerLoad. The report of a VM with a slow link has one more, and that of a
-// target that limits its requests ends with the limit.
+// loadFieldCount is the number of fixed values in headerLoad. The report of a VM with a slow link has one more. An advisory
+// may follow.
 const loadFieldCount = 4
 
 func formatLoad(l basillift.Load) string {
@@ -148,19 +154,12 @@
 	if backlog, slow := l.SlowLink(); slow {
 		text += " " + formatMicroseconds(backlog)
 	}
-	if limit := formatLimit(l.Advisory()); limit != "" {
-		text += " " + limit
-	}
-	return text
+	return text + formatAdvisory(l.Advisory())
 }
 
 // parseLoad returns nil if the text is not a valid load report.
 func parseLoad(text string) *basillift.Load {
-	fields := strings.Fields(text)
-	advisory := basillift.NewAdvisory()
-	if last := len(fields) - 1; last >= 0 && strings.HasPrefix(fields[last], limitPrefix) {
-		fields, advisory = fields[:last], parseLimit(fields[last])
-	}
+	fields, advisory := cutAdvisory(strings.Fields(text))
 	if len(fields) != loadFieldCount && len(fields) != loadFieldCount+1 {
 		return nil
 	}
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -33,6 +33,12 @@
 		perSecond, _ := f.advisories.Limit(time.Now(), f.ownTarget(""))
 		return perSecond
 	})
+	set.NewGauge("basillift_target_leaving", func() float64 {
+		if _, leaving := f.advisories.Leaving(f.ownTarget("")); leaving {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("basillift_table_version", func() float64 {
 		if t := f.tables.Current(); t != nil {
 			return float64(t.Version())
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -104,10 +104,10 @@
 func (t *targetSide) admit(ctx context.Context, r *request, meta requestMetadata) *answer {
 	f := t.forwarder
 	now := time.Now()
+	f.observeCallerAdvisory(now, meta)
 	if refusal := t.checkAvailable(now, meta); refusal != nil {
 		return refusal
 	}
-	f.observeReportedLimit(now, meta)
 	meta = f.admission.classify(now, meta)
 	id, refusal := f.admission.acquire(ctx, now, r.header(f.settings.headerNames.RequestID()), meta)
 	if refusal != nil {
@@ -138,8 +138,7 @@
 	if f.refusesDaemons.Load() {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
-	_, leaving, known := f.fleet.EndpointAt(f.settings.targetAddress)
-	if known && !leaving.IsZero() && now.Sub(leaving) > time.Duration(f.drainPeriod.Load())-drainMargin {
+	if since, leaving := f.ownTargetLeaving(meta.instance); leaving && now.Sub(since) > time.Duration(f.drainPeriod.Load())-drainMargin {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
 	if f.admission.isMisdirected(now, meta.instance) {
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(),
-		MemberDied(), Paused(), TargetChanged(), TargetLimited(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
+		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
 	}
 }
 
@@ -111,6 +111,9 @@
 	return Entry{401, zerolog.InfoLevel, "target changed its request limit", "find out why the target is short of resources if the limit stays"}
 }
 
+// TargetLeaving is logged when the VM's target says in an answer that it is leaving.
+func TargetLeaving() Entry { return Entry{402, zerolog.InfoLevel, "target is leaving", "none"} }
+
 // NoticeFailed is logged when a notice cannot be delivered.
 func NoticeFailed() Entry {
 	return Entry{500, zerolog.WarnLevel, "notice not delivered", "check the setting notify and its receiver"}
--- a/basillift/headernames.go
+++ b/basillift/headernames.go
@@ -10,6 +10,7 @@
 	notRun    string
 	caller    string
 	limit     string
+	leaving   string
 	readyPath string
 }
 
@@ -30,9 +31,9 @@
 	return h
 }
 
-// WithAdvisory sets the header with which a target limits the requests that it gets.
-func (h HeaderNames) WithAdvisory(limit string) HeaderNames {
-	h.limit = limit
+// WithAdvisory sets the headers with which a target limits the requests that it gets, and says that it is leaving.
+func (h HeaderNames) WithAdvisory(limit, leaving string) HeaderNames {
+	h.limit, h.leaving = limit, leaving
 	return h
 }
 
@@ -63,5 +64,8 @@
 // Limit names the header with the number of requests per second that a target accepts from all VMs together.
 func (h HeaderNames) Limit() string { return h.limit }
 
+// Leaving names the header with the value 1 in the answers of a target that is leaving.
+func (h HeaderNames) Leaving() string { return h.leaving }
+
 // ReadyPath is the path that answers 200 while the daemon takes requests.
 func (h HeaderNames) ReadyPath() string { return h.readyPath }
