blforwarder: a refusal without an id on a reused connection is no answer

Callers would see: "not run" for a request that a target had run or was running (REFUSED), and such a request at a second target (TWICE). Reported by operators of a similar system: a faulty target wrote an earlier refusal once more on a kept connection. Cause: answers are matched by the id that they echo, but a refusal without an id was taken for any request. With its id, the repeated refusal was skipped already. Change: a refusal without an id counts on a new connection only, where no earlier request can have had it. Result: TestRepeatedRefusalIsIgnored failed without an id (503 for a POST that ran) and passes.

--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -129,13 +129,15 @@
 	return nil, fmt.Errorf("read answer: %w", errStaleAnswers)
 }
 
+// matchesRequest reports whether an answer belongs to the request. A refusal without an id does on a new connection only: on
+// a reused one it may be an earlier refusal that was sent once more, while the request runs.
 func (e *exchange) matchesRequest(a *receivedAnswer) bool {
 	if e.requestID == "" {
 		return true
 	}
 	echoed := a.header(e.idHeader)
 	refused := a.status == http.StatusMisdirectedRequest || a.header(e.notRunHeader) != ""
-	return echoed == e.requestID || echoed == "" && refused
+	return echoed == e.requestID || echoed == "" && refused && !e.conn.Reused()
 }
 
 func (e *exchange) write() error {
--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -395,3 +396,25 @@
 		t.Run("stopped before it serves", func(t *testing.T) { startEmptyMesh(t, f) })
 	}
 }
+
+// Guards against a refusal that a target writes once more on a kept connection, where it would be taken for the answer to
+// the next request, which runs.
+func TestRepeatedRefusalIsIgnored(t *testing.T) {
+	for name, id := range map[string]string{"with its id": "X-Id: 1\r\n", "without an id": ""} {
+		t.Run(name, func(t *testing.T) {
+			refusal := "HTTP/1.1 503 Service Unavailable\r\n" + id + "X-Not-Run: full\r\nContent-Length: 0\r\n\r\n"
+			f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+				_, err := io.WriteString(w, refusal)
+				if r.Header.Get("X-Id") == "1" {
+					return err == nil
+				}
+				return answerOK(w, r, body)
+			})
+			c := startMesh(t, f).dial(t, 0)
+			c.send(post("1", ""))
+			c.assertAnswer(http.StatusServiceUnavailable, "")
+			c.send(post("2", "x"))
+			c.assertAnswer(http.StatusOK, "/post/x x")
+		})
+	}
+}
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -27,7 +27,9 @@
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	// written is the number of bytes of the current call that the kernel accepted.
-	written   int64
+	written int64
+	// calls counts the calls on the connection.
+	calls     int
 	idleSince time.Time
 	// maxIdle is how long the connection may stay idle. The server can shorten it.
 	maxIdle time.Duration
@@ -138,9 +140,13 @@
 	return n == 0 && err == nil
 }
 
+// Reused reports whether the current call is not the first one on the connection.
+func (c *Conn) Reused() bool { return c.calls > 1 }
+
 // Begin resets the count of written bytes and sets the read and write deadline for a new call.
 func (c *Conn) Begin(deadline time.Time) error {
 	c.written = 0
+	c.calls++
 	err := c.SetDeadline(deadline)
 	if err != nil {
 		return fmt.Errorf("set deadline: %w", err)
