blforwarder: test answers whose head is truncated

Cause: operators of a similar system report that a target stopped in the middle of an answer's head, and clients got a 200 with a short body. Heads were tested at few positions. Change: TestTruncatedHeadIsNoAnswer cuts the head after each byte. Result: passes on the code as it was; the caller gets 502 each time. No fault here.

--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -418,3 +418,19 @@
 		})
 	}
 }
+
+// Guards against an answer whose head is truncated and that reaches the caller as a complete one.
+func TestTruncatedHeadIsNoAnswer(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\n"
+	for length := range len(head) {
+		t.Run(fmt.Sprintf("%d bytes", length), func(t *testing.T) {
+			f := startTarget(t, func(w net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = io.WriteString(w, head[:length])
+				return false
+			})
+			c := startMesh(t, f).dial(t, 0)
+			c.send(post("1", "x"))
+			c.assertAnswer(http.StatusBadGateway, "")
+		})
+	}
+}
