blforwarder: a stopping daemon takes no late requests on busy connections

Callers would see: requests that are cut without an answer at the end of a planned stop (LOST). Cause: once a stop refuses new connections, idle ones are closed, but a connection with a request in flight was read on: a further request on it was taken, passed on to another VM's target, and cut if it still ran at the end of the grace. Change: such a connection takes no more requests. The request stays unread behind an answer with "Connection: close", which tells the caller that it did not run; connections accepted in that moment take none either. Result: TestStopTakesNoLateRequests failed (the target got the request, the answer before it did not close) and passes.

--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -434,3 +434,42 @@
 		})
 	}
 }
+
+// Guards against requests that a stopping daemon takes on busy connections late in its stop, and that are cut at its end.
+func TestStopTakesNoLateRequests(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}, 8), make(chan struct{})
+	block := func(w net.Conn, r *http.Request, body []byte) bool {
+		entered <- struct{}{}
+		<-release
+		return answerOK(w, r, body)
+	}
+	own, other := startTarget(t, block), startTarget(t, block)
+	m := startMesh(t, own, other)
+	m.publish(t, 2, hangGuard)
+	c := m.dial(t, 0)
+	c.send("POST /post/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+	<-entered
+	done := make(chan struct{})
+	go func() { m.forwarders[0].Drain(context.Background()); close(done) }()
+	m.forwarders[0].failedReadyChecks.Store(readyFailureThreshold)
+	for {
+		conn, err := net.Dial("tcp", m.callerAddresses[0])
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(drainCheckInterval)
+	c.send("GET /get/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: 2\r\n\r\n")
+	select {
+	case <-entered:
+		t.Error("the target got a request that was sent after the daemon took no more")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(release)
+	is.True(c.assertAnswer(http.StatusOK, "").close)
+	<-done
+	is.Equal(own.count("2")+other.count("2"), 0)
+}
--- a/basillift/blforwarder/server.go
+++ b/basillift/blforwarder/server.go
@@ -23,6 +23,7 @@
 	mutex    sync.Mutex
 	sessions map[*session]struct{}
 	draining bool
+	refusing bool
 	tasks    sync.WaitGroup
 }
 
@@ -62,7 +63,7 @@
 	n := newSession(conn, s.handler, s)
 	s.mutex.Lock()
 	s.sessions[n] = struct{}{}
-	n.closing = s.draining
+	n.closing, n.refusing = s.draining, s.refusing
 	s.mutex.Unlock()
 	s.tasks.Go(func() { n.run(ctx) })
 }
@@ -73,13 +74,14 @@
 	delete(s.sessions, n)
 }
 
-// drain makes all sessions close after their pending requests. Idle sessions are closed only if includeIdle is set.
-func (s *server) drain(includeIdle bool) {
+// drain makes all sessions close after their pending requests. If refuse is set, they take no more requests, and idle
+// sessions are closed.
+func (s *server) drain(refuse bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.draining = true
+	s.draining, s.refusing = true, refuse
 	for n := range s.sessions {
-		n.closeAfterPending(includeIdle)
+		n.closeAfterPending(refuse)
 	}
 }
 
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -46,13 +46,15 @@
 	cancel   context.CancelFunc
 	pipeline chan *pipelinedRequest
 	server   *server
-	// bodyUnread is set by the goroutine that reads requests if it stopped before the end of a body.
+	// bodyUnread is set by the goroutine that reads requests if it left a body or a request unread.
 	bodyUnread bool
 
 	mutex   sync.Mutex
 	pending int
 	closing bool
-	closed  bool
+	// refusing is set once no further request may be started.
+	refusing bool
+	closed   bool
 }
 
 // pipelinedRequest is one request of a session, with the channel for its answer.
@@ -163,11 +165,15 @@
 	return true
 }
 
-// countRequest counts a pending request. It returns false if the session has been closed meanwhile.
+// countRequest counts a pending request. It returns false if the session takes no more requests. The request then stays
+// unread behind an answer that closes the connection, so that the caller knows that it did not run.
 func (s *session) countRequest() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.closed {
+	if s.refusing && !s.closed {
+		s.bodyUnread = true
+	}
+	if s.closed || s.refusing {
 		return false
 	}
 	s.pending++
@@ -300,13 +306,13 @@
 	s.interruptRead()
 }
 
-// closeAfterPending closes the session after its pending requests. An idle session is closed at once if includeIdle
-// is set; otherwise it may still send one request.
-func (s *session) closeAfterPending(includeIdle bool) {
+// closeAfterPending closes the session after its pending requests. If refuse is set, it takes no more requests, and an idle
+// session is closed at once; otherwise it may still send one request.
+func (s *session) closeAfterPending(refuse bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.closing = true
-	if s.pending == 0 && includeIdle {
+	s.closing, s.refusing = true, refuse
+	if s.pending == 0 && refuse {
 		s.closed = true
 		s.interruptRead()
 	}
