--- a/basillift/blwatch/watcher_test.go
+++ b/basillift/blwatch/watcher_test.go
@@ -34,6 +34,12 @@
 	r.changed = make(chan struct{})
 }
 
+func (r *silentRegistry) newest() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.revision
+}
+
 func (r *silentRegistry) goSilent() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -108,6 +114,19 @@
 	h.failed++
 }
 
+// appliedAfter returns how long after a moment the handler got a revision.
+func (h *recorder) appliedAfter(moment time.Time, revision uint64) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.appliedAt[revision].Sub(moment)
+}
+
+func (h *recorder) failedWaits() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.failed
+}
+
 func (h *recorder) RegistryDown(time.Time, error) {}
 
 func (h *recorder) RegistryRecovered(time.Time, bool) {}
@@ -131,7 +150,7 @@
 		time.Sleep(time.Millisecond)
 		registry.change()
 		time.Sleep(time.Minute)
-		stale, failed = handler.appliedAt[registry.revision].Sub(silentAt), handler.failed
+		stale, failed = handler.appliedAfter(silentAt, registry.newest()), handler.failedWaits()
 		cancel()
 		if err := <-ended; err != nil {
 			t.Error(err)
@@ -180,7 +199,7 @@
 		registry.setOutage(false)
 		returnedAt := time.Now()
 		time.Sleep(time.Minute)
-		stale = handler.appliedAt[registry.revision].Sub(returnedAt)
+		stale = handler.appliedAfter(returnedAt, registry.newest())
 		cancel()
 		if err := <-ended; err != nil {
 			t.Error(err)
