blfeed: a follower does not wait at the store for a change that it knows of

Cause: a follower without a reader asks the store to wait for changes for up to 1 s, also if other daemons have told it that there are changes. If that answer is lost, it is missed only after the wait and the time-out. Change: the request asks for no wait then. The store has the change, so an answer that doesn't come at once is lost.

--- a/basillift/blfeed/followerregistry.go
+++ b/basillift/blfeed/followerregistry.go
@@ -111,7 +111,12 @@
 	}
 	directCtx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	direct, err := r.observePage(r.registry.Changes(directCtx, revision, min(wait, registryWait), timeout))
+	wait = min(wait, registryWait)
+	if r.peerRevision.Load() > r.newestRevision.Load() {
+		// The registry has the change that other daemons know, so an answer that does not come at once is lost.
+		wait = 0
+	}
+	direct, err := r.observePage(r.registry.Changes(directCtx, revision, wait, timeout))
 	if err != nil && directCtx.Err() != nil && ctx.Err() == nil {
 		return direct, fmt.Errorf("changes took too long to arrive: %w", basillift.ErrCompacted)
 	}
--- a/basillift/blfeed/followerregistry_test.go
+++ b/basillift/blfeed/followerregistry_test.go
@@ -21,7 +21,9 @@
 	mutex    sync.Mutex
 	caches   map[string]*Cache
 	requests []string
-	failing  bool
+	// registryWaits holds the waits of requests for changes to the registry itself.
+	registryWaits []time.Duration
+	failing       bool
 	// slowChanges makes Changes block until its context ends.
 	slowChanges bool
 }
@@ -60,7 +62,8 @@
 	return basillift.NewRegistryPage([]basillift.RegistryEntry{entryOf("x", 90)}, 95, ""), nil
 }
 
-func (m *fakeMesh) Changes(ctx context.Context, _ uint64, _, _ time.Duration) (basillift.RegistryPage, error) {
+func (m *fakeMesh) Changes(ctx context.Context, _ uint64, wait, _ time.Duration) (basillift.RegistryPage, error) {
+	m.registryWaits = append(m.registryWaits, wait)
 	if m.slowChanges {
 		<-ctx.Done()
 		return basillift.RegistryPage{}, basillift.ErrUnavailable
@@ -109,6 +112,20 @@
 	return m.fakeMesh.RequestFeed(ctx, daemon, request)
 }
 
+// Guards against a lost answer of the registry that is noticed late, since the request asked for a wait although other daemons
+// had told of a change.
+func TestRegistryDoesNotWaitForKnownChange(t *testing.T) {
+	m := &fakeMesh{}
+	r := m.newFollower(t)
+	_, err := r.Changes(context.Background(), 20, testTimeout, testTimeout)
+	is := is.New(t)
+	is.NoErr(err)
+	r.ObserveRevision(99)
+	_, err = r.Changes(context.Background(), 95, testTimeout, testTimeout)
+	is.NoErr(err)
+	is.Equal(m.registryWaits, []time.Duration{min(testTimeout, registryWait), 0})
+}
+
 // Guards against a search for another reader in which each request waits for changes in turn.
 func TestOnlyTheFirstReaderWaits(t *testing.T) {
 	m := &silentMesh{}
