blfeed: no requests without a pause to the store after a removal

Callers would see nothing; the store would be asked again and again without a pause, by a follower without a reader. A removed entry isn't part of a listing, so its revision stays ahead until the next change. Change: the comparison is with the revision from which changes are requested. If another daemon is ahead of that, the store has a change to answer. Result: TestRegistryDoesNotWaitForKnownChange, with a removal, failed (no wait) and passes.

--- a/basillift/blfeed/followerregistry.go
+++ b/basillift/blfeed/followerregistry.go
@@ -112,7 +112,7 @@
 	directCtx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	wait = min(wait, registryWait)
-	if r.peerRevision.Load() > r.newestRevision.Load() {
+	if r.peerRevision.Load() > revision {
 		// The registry has the change that other daemons know, so an answer that does not come at once is lost.
 		wait = 0
 	}
--- a/basillift/blfeed/followerregistry_test.go
+++ b/basillift/blfeed/followerregistry_test.go
@@ -120,10 +120,15 @@
 	_, err := r.Changes(context.Background(), 20, testTimeout, testTimeout)
 	is := is.New(t)
 	is.NoErr(err)
+	// Other daemons may have seen the removal of an entry that a later listing does not contain.
+	r.ObserveRevision(93)
+	_, err = r.Changes(context.Background(), 95, testTimeout, testTimeout)
+	is.NoErr(err)
 	r.ObserveRevision(99)
 	_, err = r.Changes(context.Background(), 95, testTimeout, testTimeout)
 	is.NoErr(err)
-	is.Equal(m.registryWaits, []time.Duration{min(testTimeout, registryWait), 0})
+	wait := min(testTimeout, registryWait)
+	is.Equal(m.registryWaits, []time.Duration{wait, wait, 0})
 }
 
 // Guards against a search for another reader in which each request waits for changes in turn.
