blwatch, blfeed, platform: an answer that is arriving does not count as lost

Cause: time-outs for lost answers also ended answers that were arriving. A table with 1,520 more routes takes a second on a busy link of 5 to 10 Mbit/s. The follower cut it after 0.5 s, asked the next reader for all of it, cut that too, asked the store, and the watcher cancelled that after 1.1 s, since others were ahead; each attempt began at the first byte. Probes of several readers were cut after 0.3 s, listings of the store after 1.5 s. Change: those time-outs end when the answer begins (bltrace, as net/http/httptrace does it).

--- a/basillift/blfeed/followerregistry.go
+++ b/basillift/blfeed/followerregistry.go
@@ -11,6 +11,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bltable"
+	"basillift.dev/basillift/common/bltrace"
 )
 
 const (
@@ -20,7 +21,7 @@
 	// maxProbes is how many daemons are asked at the same time whether they are readers. Right after all daemons have
 	// started none of them can name a reader, and those with a busy link are slow to answer that they aren't one.
 	maxProbes = 12
-	// probeTimeout bounds a probe: a few round trips on a busy link.
+	// probeTimeout bounds the time until a probe's answer begins: a few round trips on a busy link.
 	probeTimeout = 300 * time.Millisecond
 	// maxFeedWait is how long a reader may delay its response while nothing changes. A table has to be in force
 	// within 2 s, so a reader that stops answering must not delay changes for that long.
@@ -215,8 +216,13 @@
 }
 
 func (p *probe) run(ctx context.Context) {
-	result := p.registry.query(ctx, p.address, 0, p.newRequest)
-	if result.err != nil && !errors.Is(result.err, errNotCurrent) && !errors.Is(ctx.Err(), context.Canceled) {
+	probeCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(probeTimeout, cancel)
+	defer timer.Stop()
+	probeCtx = bltrace.WithAnswerBegun(probeCtx, func() { timer.Stop() })
+	result := p.registry.query(probeCtx, p.address, 0, p.newRequest)
+	if result.err != nil && !errors.Is(result.err, errNotCurrent) && ctx.Err() == nil {
 		p.registry.selector.Failed(time.Now(), p.address)
 	}
 	p.results <- result
@@ -224,7 +230,7 @@
 
 // probeAll sends a request to several daemons at once and returns the first usable result.
 func (r *FollowerRegistry) probeAll(ctx context.Context, addresses []string, newRequest requestFunc) queryResult {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan queryResult, len(addresses))
 	for _, address := range addresses {
--- a/basillift/blfeed/followerregistry_test.go
+++ b/basillift/blfeed/followerregistry_test.go
@@ -12,6 +12,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bltable"
+	"basillift.dev/basillift/common/bltrace"
 )
 
 var errGone = eris.New("daemon is gone")
@@ -234,3 +235,26 @@
 		assertListing(t, page, err, 95, "x")
 	})
 }
+
+// slowMesh is a mesh whose daemons take longer than probeTimeout to transfer an answer that has begun.
+type slowMesh struct{ fakeMesh }
+
+func (m *slowMesh) RequestFeed(ctx context.Context, daemon string, request basillift.FeedRequest) (basillift.FeedResponse, error) {
+	bltrace.AnswerBegun(ctx)
+	select {
+	case <-time.After(2 * probeTimeout):
+		return m.fakeMesh.RequestFeed(ctx, daemon, request)
+	case <-ctx.Done():
+		return basillift.FeedResponse{}, errGone
+	}
+}
+
+// Guards against a follower on a slow link that reads the registry itself, since the answers of readers are cut while they
+// arrive.
+func TestArrivingProbeAnswerIsNotCut(t *testing.T) {
+	m := &slowMesh{fakeMesh{caches: map[string]*Cache{"d-0": newChangedCache(t), "d-1": newChangedCache(t)}}}
+	r := m.newFollower(t)
+	r.client = m
+	page, err := r.Changes(context.Background(), 20, testTimeout, testTimeout)
+	assertListing(t, page, err, 21, "x")
+}
--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -217,7 +217,7 @@
 
 // readAnswer skips interim answers and reads the header of the final answer and its body, or the first part of a
 // large body.
-func readAnswer(reader *bufio.Reader, h *fasthttp.ResponseHeader, method string) (*receivedAnswer, error) {
+func readAnswer(reader *bufio.Reader, h *fasthttp.ResponseHeader, method string, headReceived func(*receivedAnswer)) (*receivedAnswer, error) {
 	for {
 		h.Reset()
 		h.DisableNormalizing()
@@ -237,6 +237,9 @@
 	for name, value := range h.All() {
 		a.addHeader(string(name), string(value))
 	}
+	if headReceived != nil {
+		headReceived(a)
+	}
 	status := a.status
 	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
 		a.bodyless = true
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -40,7 +40,9 @@
 	notRunHeader  string
 	detachContext func() bool
 	// newConnection is set for a request that must not use an idle connection, which may be silent.
-	newConnection   bool
+	newConnection bool
+	// headReceived is called when the head of an answer has arrived, before its body; nil for no function.
+	headReceived    func(*receivedAnswer)
 	sender          *sender
 	readStaleAnswer bool
 	unsent          bool
@@ -113,7 +115,7 @@
 	h := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(h)
 	for range maxStaleAnswers + 1 {
-		a, err := readAnswer(e.conn.Reader(), &h.Header, e.request.method)
+		a, err := readAnswer(e.conn.Reader(), &h.Header, e.request.method, e.headReceived)
 		if err != nil {
 			return nil, err
 		}
--- a/basillift/blforwarder/feed.go
+++ b/basillift/blforwarder/feed.go
@@ -12,16 +12,21 @@
 	"github.com/rotisserie/eris"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/common/bltrace"
 )
 
 // headerFeed carries a daemon's feed request, and the state, the revision and the readers in the answer.
 const headerFeed = "Basillift-Feed"
 
 const (
-	// maxChangesTransferTime and maxTableTransferTime bound the transfer of an answer after its wait, on a link of 5
-	// Mbit/s: a few KB queued behind a large body, and a whole table of 400 KB.
-	maxChangesTransferTime = 500 * time.Millisecond
-	maxTableTransferTime   = 1500 * time.Millisecond
+	// maxChangesDelay and maxTableDelay bound the time from the end of the wait until an answer begins, on a busy link of 5
+	// Mbit/s: the head of an answer may be queued behind a large body, and a whole table has to be encoded first.
+	maxChangesDelay = 500 * time.Millisecond
+	maxTableDelay   = 1500 * time.Millisecond
+	// maxFeedStall and maxFeedTransferTime bound the transfer of an answer: a pause in it, and all of it. A table of several
+	// thousand routes takes a second or more on a busy link.
+	maxFeedStall        = time.Second
+	maxFeedTransferTime = 5 * time.Second
 )
 
 // maxFeedWait bounds how long a daemon waits for changes on behalf of another one.
@@ -81,12 +86,18 @@
 	header := "GET / HTTP/1.1\r\nHost: " + daemon + "\r\n" + headerFeed + ": " + formatFeedRequest(query) + "\r\n\r\n"
 	e := &exchange{
 		pool: f.pools.Of(daemon), request: &request{method: http.MethodGet}, header: []byte(header),
-		deadline: now.Add(query.Wait() + maxTableTransferTime),
+		deadline: now.Add(query.Wait() + maxTableDelay),
 		// A request that does not wait looks for another reader after one has failed.
 		newConnection: query.Wait() == 0,
 	}
 	if query.CompleteRevision() > 0 {
-		e.deadline = now.Add(query.Wait() + maxChangesTransferTime)
+		e.deadline = now.Add(query.Wait() + maxChangesDelay)
+	}
+	e.headReceived = func(a *receivedAnswer) {
+		if hasFeedBody(a.header(headerFeed)) {
+			bltrace.AnswerBegun(ctx)
+			e.extendWhileArriving(ctx, time.Now())
+		}
 	}
 	received, err := e.run(ctx, now)
 	if err != nil {
@@ -99,6 +110,30 @@
 	return parseFeedResponse(received.header(headerFeed), body)
 }
 
+// extendWhileArriving bounds the transfer of an answer that has begun to arrive: not by the deadline of the exchange, but by
+// maxFeedStall from each read to the next, and by maxFeedTransferTime.
+func (e *exchange) extendWhileArriving(ctx context.Context, begun time.Time) {
+	latest := begun.Add(maxFeedTransferTime)
+	extend := func(now time.Time) {
+		deadline := now.Add(maxFeedStall)
+		if deadline.After(latest) {
+			deadline = latest
+		}
+		_ = e.conn.SetDeadline(deadline)
+		if ctx.Err() != nil {
+			_ = e.conn.SetDeadline(time.Unix(1, 0))
+		}
+	}
+	e.conn.OnRead(func() { extend(time.Now()) })
+	extend(begun)
+}
+
+// hasFeedBody reports whether the header of a response announces changes or a listing.
+func hasFeedBody(text string) bool {
+	state, _, _ := strings.Cut(text, " ")
+	return state == string(basillift.FeedChanges) || state == string(basillift.FeedFull)
+}
+
 func parseFeedResponse(text string, body []byte) (basillift.FeedResponse, error) {
 	fields := strings.Fields(text)
 	if len(fields) < 2 {
--- a/basillift/blforwarder/feed_test.go
+++ b/basillift/blforwarder/feed_test.go
@@ -1,9 +1,14 @@
 package blforwarder
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/common/bltrace"
 )
 
 // largeBody is larger than what is buffered at once.
@@ -116,3 +122,50 @@
 		assertFeed(t, r, err, basillift.FeedUnchanged, 5)
 	}
 }
+
+// startSlowReader starts a daemon that answers a feed request with a body in parts, with a pause before each.
+func startSlowReader(t *testing.T, parts []string, pause time.Duration) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s 77\r\nContent-Length: %d\r\n\r\n", headerFeed, basillift.FeedChanges, len(strings.Join(parts, "")))
+		for _, part := range parts {
+			time.Sleep(pause)
+			_, _ = io.WriteString(conn, part)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a follower on a slow link that cuts a large answer while it arrives and asks another reader for it again.
+func TestArrivingFeedIsNotCut(t *testing.T) {
+	m := startMesh(t, startTarget(t, answerOK))
+	query := basillift.NewFeedRequest(1, 0).Since(70, 0)
+	t.Run("answer arrives slowly", func(t *testing.T) {
+		reader := startSlowReader(t, []string{"ab", "cd", "ef"}, maxChangesDelay/2)
+		r, err := m.forwarders[0].RequestFeed(context.Background(), reader, query)
+		assertFeed(t, r, err, basillift.FeedChanges, 77)
+		is.New(t).Equal(string(r.Body()), "abcdef")
+	})
+	t.Run("answer stalls", func(t *testing.T) {
+		reader := startSlowReader(t, []string{"ab", "cd"}, maxFeedStall+500*time.Millisecond)
+		_, err := m.forwarders[0].RequestFeed(context.Background(), reader, query)
+		is.New(t).True(errors.Is(err, os.ErrDeadlineExceeded))
+	})
+	t.Run("canceled while the answer arrives", func(t *testing.T) {
+		reader := startSlowReader(t, []string{"ab", "cd", "ef", "gh"}, maxFeedStall/2)
+		ctx, cancel := context.WithCancel(context.Background())
+		_, err := m.forwarders[0].RequestFeed(bltrace.WithAnswerBegun(ctx, cancel), reader, query)
+		is.New(t).True(errors.Is(err, os.ErrDeadlineExceeded))
+	})
+}
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -29,7 +29,9 @@
 	// written is the number of bytes of the current call that the kernel accepted.
 	written int64
 	// calls counts the calls on the connection.
-	calls     int
+	calls int
+	// onRead is called after bytes have arrived during the current call; nil for no function.
+	onRead    func()
 	idleSince time.Time
 	// maxIdle is how long the connection may stay idle. The server can shorten it.
 	maxIdle time.Duration
@@ -45,7 +47,7 @@
 		return nil, err
 	}
 	c := &Conn{Conn: raw, descriptor: descriptor, maxIdle: l.maxIdle}
-	c.reader = bufio.NewReaderSize(raw, BufferBytes)
+	c.reader = bufio.NewReaderSize(c, BufferBytes)
 	c.writer = bufio.NewWriterSize(c, BufferBytes)
 	return c, nil
 }
@@ -116,6 +118,18 @@
 	return n, nil
 }
 
+// Read reads from the connection and calls the function of OnRead.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.onRead != nil {
+		c.onRead()
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+}
+
+// OnRead sets a function that is called whenever bytes arrive until the call ends.
+func (c *Conn) OnRead(f func()) { c.onRead = f }
+
 // Reader returns the buffered reader of the connection. Its buffer has BufferBytes.
 func (c *Conn) Reader() *bufio.Reader { return c.reader }
 
@@ -145,7 +159,7 @@
 
 // Begin resets the count of written bytes and sets the read and write deadline for a new call.
 func (c *Conn) Begin(deadline time.Time) error {
-	c.written = 0
+	c.written, c.onRead = 0, nil
 	c.calls++
 	err := c.SetDeadline(deadline)
 	if err != nil {
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/common/bltrace"
 	"basillift.dev/basillift/common/blwait"
 )
 
@@ -42,10 +43,13 @@
 
 	mutex sync.Mutex
 	state *WatchState
-	// cancelWait cancels the pending wait for changes; nil if there is none.
-	cancelWait context.CancelFunc
+	// pending is the request for changes whose answer has not begun to arrive; nil if there is none.
+	pending *pendingWait
 }
 
+// pendingWait is a request for changes.
+type pendingWait struct{ cancel context.CancelFunc }
+
 // New returns a watcher of a registry. rnd randomizes the pauses after failures.
 func New(registry basillift.Registry, handler Handler, rnd *rand.Rand) *Watcher {
 	return &Watcher{registry: registry, handler: handler, state: NewWatchState(time.Now(), rnd)}
@@ -124,8 +128,8 @@
 func (w *Watcher) cancelOverdueWait() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.cancelWait != nil && w.state.Overdue(time.Now()) {
-		w.cancelWait()
+	if w.pending != nil && w.state.Overdue(time.Now()) {
+		w.pending.cancel()
 	}
 }
 
@@ -165,17 +169,31 @@
 	return nil
 }
 
-// waitForChanges requests changes. cancelOverdueWait may cancel the request.
+// setPending sets the request that cancelOverdueWait may cancel.
+func (w *Watcher) setPending(p *pendingWait) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.pending = p
+}
+
+// answerBegun records that the answer to a request is arriving, so that it is not lost.
+func (w *Watcher) answerBegun(p *pendingWait) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.pending == p {
+		w.pending = nil
+	}
+}
+
+// waitForChanges requests changes. cancelOverdueWait may cancel the request until its answer begins to arrive.
 func (w *Watcher) waitForChanges(ctx context.Context, o Operation) (basillift.RegistryPage, error) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w.mutex.Lock()
-	w.cancelWait = cancel
-	w.mutex.Unlock()
-	page, err := w.registry.Changes(waitCtx, o.Revision(), o.Wait(), o.Timeout())
-	w.mutex.Lock()
-	w.cancelWait = nil
-	w.mutex.Unlock()
+	pending := &pendingWait{cancel: cancel}
+	w.setPending(pending)
+	requestCtx := bltrace.WithAnswerBegun(waitCtx, func() { w.answerBegun(pending) })
+	page, err := w.registry.Changes(requestCtx, o.Revision(), o.Wait(), o.Timeout())
+	w.setPending(nil)
 	switch {
 	case err != nil && waitCtx.Err() != nil && ctx.Err() == nil:
 		return page, fmt.Errorf("wait for changes: %w", errAnswerLost)
--- a/basillift/blwatch/watcher_test.go
+++ b/basillift/blwatch/watcher_test.go
@@ -9,7 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/common/bltrace"
 )
 
 // silentRegistry answers requests for changes. When it goes silent, the pending wait is never answered, nor is the next
@@ -223,3 +226,47 @@
 		}
 	}
 }
+
+// slowRegistry is a registry whose answers take longer to transfer than another daemon may be ahead.
+type slowRegistry struct{ *silentRegistry }
+
+// Changes implements basillift.Registry.
+func (r slowRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
+	page, err := r.silentRegistry.Changes(ctx, revision, wait, timeout)
+	if err != nil || len(page.Entries()) == 0 {
+		return page, err
+	}
+	bltrace.AnswerBegun(ctx)
+	select {
+	case <-time.After(2 * peerLeadTimeout):
+		return page, nil
+	case <-ctx.Done():
+		return basillift.RegistryPage{}, fmt.Errorf("canceled: %w", basillift.ErrUnavailable)
+	}
+}
+
+// Guards against a daemon on a slow link that never gets a large table, since it cancels the transfer when other daemons are
+// ahead for a while.
+func TestArrivingAnswerIsNotCanceled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[uint64]time.Time)}
+		w := New(slowRegistry{registry}, handler, rand.New(rand.NewSource(1)))
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		time.Sleep(time.Second)
+		registry.change()
+		changedAt, first := time.Now(), registry.newest()
+		for range 50 {
+			w.ObserveRevision(first)
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		is := is.New(t)
+		is.Equal(handler.appliedAfter(changedAt, first), 2*peerLeadTimeout)
+		is.Equal(handler.failedWaits(), 0)
+	})
+}
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -113,7 +113,8 @@
 	// List returns one page of all entries after the given key.
 	List(ctx context.Context, after string) (RegistryPage, error)
 	// Changes returns the changes after the revision. The registry waits until there is one, at most for the given time.
-	// If its answer has not begun by timeout after that, it counts as lost, and the error wraps ErrUnavailable.
+	// If its answer has not begun by timeout after that, it counts as lost, and the error wraps ErrUnavailable. The
+	// implementation calls bltrace.AnswerBegun when changes begin to arrive.
 	Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (RegistryPage, error)
 }
 
