blforwarder: a restarted daemon starts few requests before its target answers

Callers and operators would see: a burst at a target that limits its requests, after the daemon beside it has started again (LIMIT). Cause: the daemon forgets the limit. Requests bring it back only from daemons that had an answer of the target in the last 5 s, which are few where many daemons avoid a target that accepts little. Without them, as many requests started as the target has slots. Change: until the target has answered, or a request has brought the limit, the daemon uses four slots, as before the target's entry is known. A target that starts after the daemon has named no limit, so it gets all slots at once. Result: TestRestartedDaemonStartsFewRequestsUntilTargetAnswers failed (12 running, want 4) and passes.

--- a/basillift/blforwarder/advisories_test.go
+++ b/basillift/blforwarder/advisories_test.go
@@ -107,6 +107,38 @@
 	is.Equal(running, 1)
 }
 
+// Guards against a burst of requests to a limited target after the daemon beside it has started again, if no caller's daemon
+// knows of the limit.
+func TestRestartedDaemonStartsFewRequestsUntilTargetAnswers(t *testing.T) {
+	const slots = 3 * defaultSlots
+	target := startTarget(t, answerOK)
+	m := startMesh(t, target)
+	f, now := m.forwarders[0], time.Now()
+	publish := func(sequence uint64, startedAt time.Time) {
+		e := basillift.NewEndpoint("i0", "catalogue", target.listener.Addr().String(), "a", slots, basillift.TargetReady).
+			WithDaemon(m.daemonAddresses[0]).WithSequence(sequence).WithStart(startedAt, 0)
+		m.fleet.Apply(now, basillift.NewRegistryEntry("t0", sequence).WithEndpoint(e))
+		f.TargetsChanged(now)
+	}
+	publish(10, now.Add(-time.Hour))
+	for range slots {
+		f.admission.enqueue(now, func(id uint64) bladmit.SlotRequest {
+			return bladmit.NewSlotRequest(id, "r", 1, now.Add(time.Hour), now.Add(time.Hour)).WithLatencyObjective(time.Minute)
+		})
+	}
+	is := is.New(t)
+	is.Equal(f.admission.load().Running(), defaultSlots)
+	t.Run("the target names no limit", func(t *testing.T) {
+		f.observeOwnAnswer(now, "i0", &answer{fields: []field{{testHeaderNames.Seal(), "s"}}})
+		is.New(t).Equal(f.admission.load().Running(), slots)
+	})
+	t.Run("the target starts after the daemon", func(t *testing.T) {
+		f.heardTarget.Store(false)
+		publish(20, now.Add(time.Hour))
+		is.New(t).True(f.heardTarget.Load())
+	})
+}
+
 func TestParseAdvisory(t *testing.T) {
 	for text, want := range map[string]float64{"20": 20, "0.25": 0.25, "0": 0, "": -1, "-1": -2, "x": -2, "NaN": -2, "Inf": -2} {
 		t.Run("limit "+text, func(t *testing.T) {
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -70,7 +70,10 @@
 	meshServer    *server
 	readyServer   *fasthttp.Server
 	readyListener net.Listener
-	stopping      atomic.Bool
+	startedAt     time.Time
+	// heardTarget is set once it is known whether the VM's own target limits its requests.
+	heardTarget atomic.Bool
+	stopping    atomic.Bool
 	// refusesDaemons is set once a stop refuses new requests of other daemons.
 	refusesDaemons atomic.Bool
 	// drainPeriod is how long a leaving target may be used, in nanoseconds.
@@ -84,7 +87,7 @@
 func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *Forwarder {
 	advisories := bladvisory.New()
 	f := &Forwarder{
-		settings: s, tables: tables, fleet: fleet,
+		settings: s, tables: tables, fleet: fleet, startedAt: time.Now(),
 		splitter: bltable.NewSplitter(rnd), balancer: blbalance.New(s.domain, advisories, rand.New(rand.NewSource(rnd.Int63()))),
 		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
 	}
@@ -171,8 +174,8 @@
 
 // TargetsChanged must be called after the routing table or the fleet has changed.
 func (f *Forwarder) TargetsChanged(now time.Time) {
-	if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known && e.Slots() > 0 {
-		f.admission.setSlots(now, e.Slots())
+	if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
+		f.applySlots(now, e)
 		f.applyRequestLimit(now, e)
 	}
 	if t := f.tables.Current(); t != nil {
