blforwarder: few slots of a restarted daemon are decided in one place

Callers could see: a target that gets four requests at a time only, until an entry changes. Cause: computed the slots outside the admission's lock. A change of the registry that ran beside the target's first answer could set the few slots last. Change: the admission holds the announced slots and whether the limit is known, and sets the slots under its lock. Result: found by reading; the tests of blforwarder pass with the race detector.

--- a/basillift/blforwarder/admission.go
+++ b/basillift/blforwarder/admission.go
@@ -31,14 +31,19 @@
 	parents     *bladmit.ParentEstimator
 	// servedRatios holds the ratios that callers' daemons report for the routes of this target.
 	servedRatios *bladmit.ServedRatios
-	downUntil    time.Time
+	// announcedSlots is the number of slots that the target announces.
+	announcedSlots int
+	// limitKnown is set once it is known whether the target limits its requests. A daemon that has just started does not
+	// know that of a target that was there before, and uses only a few slots.
+	limitKnown bool
+	downUntil  time.Time
 	// misdirectedInstance is the instance for which the target last answered that it is another one.
 	misdirectedInstance string
 	misdirectedUntil    time.Time
 }
 
 func newAdmission() *admission {
-	return &admission{reservations: newReservations(defaultSlots, reservationLifetime), nestedCalls: bladmit.NewNestedCallDetector(), parents: bladmit.NewParentEstimator(), servedRatios: bladmit.NewServedRatios()}
+	return &admission{reservations: newReservations(defaultSlots, reservationLifetime), announcedSlots: defaultSlots, nestedCalls: bladmit.NewNestedCallDetector(), parents: bladmit.NewParentEstimator(), servedRatios: bladmit.NewServedRatios()}
 }
 
 // acquire takes the slot that is reserved for a request, or waits for one. It returns the slot's id, or the refusal.
@@ -148,5 +153,25 @@
 func (ad *admission) setSlots(now time.Time, slots int) {
 	ad.mutex.Lock()
 	defer ad.mutex.Unlock()
+	ad.announcedSlots = slots
+	ad.applySlots(now)
+}
+
+// setLimitKnown records that it is known whether the target limits its requests.
+func (ad *admission) setLimitKnown(now time.Time) {
+	ad.mutex.Lock()
+	defer ad.mutex.Unlock()
+	if !ad.limitKnown {
+		ad.limitKnown = true
+		ad.applySlots(now)
+	}
+}
+
+// applySlots must be called with the mutex held.
+func (ad *admission) applySlots(now time.Time) {
+	slots := ad.announcedSlots
+	if !ad.limitKnown {
+		slots = min(slots, defaultSlots)
+	}
 	ad.notify(now, ad.queue.SetSlots(now, slots))
 }
--- a/basillift/blforwarder/advisories.go
+++ b/basillift/blforwarder/advisories.go
@@ -48,7 +48,7 @@
 	e := f.ownTarget(instance)
 	changed, left := f.advisories.Observe(now, e, advisory)
 	f.applyRequestLimit(now, e)
-	f.hearTarget(now, e)
+	f.admission.setLimitKnown(now)
 	if left && f.log != nil {
 		f.log.Event(bllog.TargetLeaving()).Str("instance", e.Instance()).Send()
 	}
@@ -66,34 +66,11 @@
 		f.advisories.ObserveReport(now, e, meta.advisory)
 		f.applyRequestLimit(now, e)
 		if _, limited := meta.advisory.RequestLimit(); limited {
-			f.hearTarget(now, e)
+			f.admission.setLimitKnown(now)
 		}
 	}
 }
 
-// hearTarget records that it is known whether the VM's own target limits its requests.
-func (f *Forwarder) hearTarget(now time.Time, e basillift.Endpoint) {
-	if !f.heardTarget.Swap(true) {
-		f.applySlots(now, e)
-	}
-}
-
-// applySlots makes the admission use the slots that the VM's own target announces. A daemon that has just started uses only a
-// few until it knows whether a target that was there before limits its requests.
-func (f *Forwarder) applySlots(now time.Time, e basillift.Endpoint) {
-	slots := e.Slots()
-	if slots <= 0 {
-		return
-	}
-	if e.StartedAt().After(f.startedAt) {
-		f.heardTarget.Store(true)
-	}
-	if !f.heardTarget.Load() {
-		slots = min(slots, defaultSlots)
-	}
-	f.admission.setSlots(now, slots)
-}
-
 // applyRequestLimit makes the admission keep the limit of the VM's own target. The daemon beside a target counts all
 // requests to it, from all VMs.
 func (f *Forwarder) applyRequestLimit(now time.Time, e basillift.Endpoint) {
--- a/basillift/blforwarder/advisories_test.go
+++ b/basillift/blforwarder/advisories_test.go
@@ -133,9 +133,9 @@
 		is.New(t).Equal(f.admission.load().Running(), slots)
 	})
 	t.Run("the target starts after the daemon", func(t *testing.T) {
-		f.heardTarget.Store(false)
+		f.admission.limitKnown = false
 		publish(20, now.Add(time.Hour))
-		is.New(t).True(f.heardTarget.Load())
+		is.New(t).True(f.admission.limitKnown)
 	})
 }
 
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -71,9 +71,7 @@
 	readyServer   *fasthttp.Server
 	readyListener net.Listener
 	startedAt     time.Time
-	// heardTarget is set once it is known whether the VM's own target limits its requests.
-	heardTarget atomic.Bool
-	stopping    atomic.Bool
+	stopping      atomic.Bool
 	// refusesDaemons is set once a stop refuses new requests of other daemons.
 	refusesDaemons atomic.Bool
 	// drainPeriod is how long a leaving target may be used, in nanoseconds.
@@ -175,7 +173,12 @@
 // TargetsChanged must be called after the routing table or the fleet has changed.
 func (f *Forwarder) TargetsChanged(now time.Time) {
 	if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
-		f.applySlots(now, e)
+		if e.StartedAt().After(f.startedAt) {
+			f.admission.setLimitKnown(now)
+		}
+		if e.Slots() > 0 {
+			f.admission.setSlots(now, e.Slots())
+		}
 		f.applyRequestLimit(now, e)
 	}
 	if t := f.tables.Current(); t != nil {
