--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -96,8 +96,8 @@
 // DeadlineQueue admits requests to one target whose number of slots is known exactly, and which may limit how many requests
 // it accepts per second. It is designed for overload: a request waits only if it is expected to start in time for its soft
 // deadline, or within a small fraction of its latency objective. Otherwise it is refused on arrival, so that it can go to
-// another target while there is time. Better ranks go first. Within a rank nested calls go first, then requests that can meet their
-// soft deadline, and among these the one with the earliest soft deadline. It is not safe for concurrent use.
+// another target while there is time. Better ranks go first. Within a rank nested calls go first, then requests that can
+// meet their soft deadline, and among these the one with the earliest soft deadline. It is not safe for concurrent use.
 type DeadlineQueue struct {
 	slots       int
 	running     map[uint64]*deadlineEntry
--- a/basillift/blforwarder/admission.go
+++ b/basillift/blforwarder/admission.go
@@ -167,7 +167,8 @@
 	}
 }
 
-// applySlots must be called with the mutex held.
+// applySlots sets the slots of the queue: those announced, or only a few until the limit is known. It must be called with the
+// mutex held.
 func (ad *admission) applySlots(now time.Time) {
 	slots := ad.announcedSlots
 	if !ad.limitKnown {
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -70,8 +70,9 @@
 	meshServer    *server
 	readyServer   *fasthttp.Server
 	readyListener net.Listener
-	startedAt     time.Time
-	stopping      atomic.Bool
+	// startedAt is when the daemon started. A target that started before may have named a request limit already.
+	startedAt time.Time
+	stopping  atomic.Bool
 	// refusesDaemons is set once a stop refuses new requests of other daemons.
 	refusesDaemons atomic.Bool
 	// drainPeriod is how long a leaving target may be used, in nanoseconds.
--- a/basillift/blforwarder/settings.go
+++ b/basillift/blforwarder/settings.go
@@ -30,8 +30,8 @@
 	targetIdleTimeout = 8 * time.Second
 	// maxConnectionsPerAddress bounds the connections to a daemon or to the target.
 	maxConnectionsPerAddress = 256
-	// defaultSlots is used until the registry entry of the target is known, and the target has answered. A target with a
-	// request limit of almost 0 bears that many.
+	// defaultSlots is used until the registry entry of the target is known, and bounds the slots until it is known whether the
+	// target limits its requests. A target with a limit of almost 0 bears that many at once.
 	defaultSlots = 4
 	// defaultTimeout bounds requests if neither the route nor the caller sets a timeout.
 	defaultTimeout = 15 * time.Second
