--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -36,30 +36,60 @@
 
 // fakeTarget is a target that records the raw requests and runs a script for each.
 type fakeTarget struct {
+	address  string
 	listener net.Listener
 	mutex    sync.Mutex
 	script   script
 	headers  []string
 	bodies   []string
 	runs     map[string]int
+	// onConnection is called for each accepted connection; nil for no function.
+	onConnection func(net.Conn)
 }
 
 func startTarget(t *testing.T, s script) *fakeTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	f := &fakeTarget{listener: l, script: s, runs: map[string]int{}}
-	go f.loop()
+	f := &fakeTarget{address: l.Addr().String(), script: s, runs: map[string]int{}}
+	f.listen(l)
 	t.Cleanup(func() { _ = l.Close() })
 	return f
 }
 
-func (f *fakeTarget) loop() {
+// listen accepts connections from a listener until it is closed.
+func (f *fakeTarget) listen(l net.Listener) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.listener = l
+	go f.loop(l)
+}
+
+func (f *fakeTarget) currentListener() net.Listener {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.listener
+}
+
+// track sets the function that is called for each accepted connection.
+func (f *fakeTarget) track(onConnection func(net.Conn)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.onConnection = onConnection
+}
+
+func (f *fakeTarget) loop(l net.Listener) {
 	for {
-		conn, err := f.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
+		f.mutex.Lock()
+		onConnection := f.onConnection
+		f.mutex.Unlock()
+		if onConnection != nil {
+			onConnection(conn)
+		}
 		go f.serve(conn)
 	}
 }
@@ -166,7 +196,7 @@
 func (m *mesh) start(t *testing.T, i int, f *fakeTarget) {
 	t.Helper()
 	const free = "127.0.0.1:0"
-	s := NewSettings(free, free, free).WithTarget(f.listener.Addr().String(), "catalogue", "a").WithHeaderNames(testHeaderNames).WithRetryAllowance(1, 100)
+	s := NewSettings(free, free, free).WithTarget(f.address, "catalogue", "a").WithHeaderNames(testHeaderNames).WithRetryAllowance(1, 100)
 	fw := New(s, m.tables, m.fleet, nil, rand.New(rand.NewSource(int64(i)+1)))
 	fw.SetRevisionGossip(fixedGossip{})
 	fw.SetFeedServer(fakeFeed{})
@@ -187,7 +217,7 @@
 
 // endpointOf returns the entry of a target with the given number.
 func (m *mesh) endpointOf(i int, f *fakeTarget) basillift.Endpoint {
-	return basillift.NewEndpoint(fmt.Sprintf("i%d", i), "catalogue", f.listener.Addr().String(), "a", 4, basillift.TargetReady).
+	return basillift.NewEndpoint(fmt.Sprintf("i%d", i), "catalogue", f.address, "a", 4, basillift.TargetReady).
 		WithDaemon(m.daemonAddresses[i])
 }
 
