blforwarder: a target that ends while it runs requests is logged and counted

A crash and an answer that is lost both show as broken/target. Change: crashDetector knows the requests at the VM's own target. When the target breaks one off, it opens a connection: if that is refused, the target has crashed (event 403 with the number of requests that it ended, basillift_target_crashes_total). The queue closes for downPause as after a refused connection.

--- a/basillift/blforwarder/crash_test.go
+++ b/basillift/blforwarder/crash_test.go
@@ -172,3 +172,48 @@
 		m.assertStops(t, func(id string) string { return post(id, body) })
 	})
 }
+
+// startHeld sends a request that the target of a daemon holds until release is closed, and returns its connection.
+func (m *crashMesh) startHeld(t *testing.T, target int, format func(id string) string) *caller {
+	t.Helper()
+	m.sent++
+	c := m.dial(t, target)
+	c.send(format(fmt.Sprintf("c%d", m.sent)))
+	<-m.targets[target].started
+	return c
+}
+
+// Guards against crashes that are not noticed or counted twice, and against other failures that are taken for a crash.
+func TestTargetCrashIsDetected(t *testing.T) {
+	assertCrashes := func(t *testing.T, m *crashMesh, want int) {
+		t.Helper()
+		is.New(t).Equal(int(m.forwarders[0].counters.crashes.Get()), want)
+	}
+	t.Run("several requests end with the target", func(t *testing.T) {
+		m := startCrashMesh(t, 1, crashesOnPath)
+		held := make([]*caller, 0, 3)
+		for i := range 3 {
+			held = append(held, m.startHeld(t, 0, func(id string) string { return get(id, fmt.Sprintf("/get/held%d", i)) }))
+		}
+		m.send(t, 0, func(id string) string { return get(id, crashingPath) })
+		for _, c := range held {
+			is.New(t).Equal(c.read().status, http.StatusBadGateway)
+		}
+		close(m.targets[0].release)
+		assertCrashes(t, m, 1)
+		m.restartTargets(t)
+		m.send(t, 0, func(id string) string { return get(id, "/get/other") })
+		assertCrashes(t, m, 1)
+	})
+	t.Run("answer that is broken off", func(t *testing.T) {
+		m := &crashMesh{mesh: startMesh(t, startTarget(t, func(net.Conn, *http.Request, []byte) bool { return false }))}
+		is.New(t).Equal(m.send(t, 0, func(id string) string { return post(id, "x") }), http.StatusBadGateway)
+		assertCrashes(t, m, 0)
+	})
+	t.Run("target that was stopped before the request", func(t *testing.T) {
+		m := startCrashMesh(t, 1, crashesOnPath)
+		m.targets[0].crash()
+		is.New(t).Equal(m.send(t, 0, func(id string) string { return post(id, "x") }), http.StatusServiceUnavailable)
+		assertCrashes(t, m, 0)
+	})
+}
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -41,6 +41,8 @@
 	detachContext func() bool
 	// newConnection is set for a request that must not use an idle connection, which may be silent.
 	newConnection bool
+	// begun is called when the connection is open, before the request is sent; nil for no function.
+	begun func()
 	// headReceived is called when the head of an answer has arrived, before its body; nil for no function.
 	headReceived    func(*receivedAnswer)
 	sender          *sender
@@ -82,6 +84,9 @@
 		e.pool.Discard(conn)
 		return nil, fmt.Errorf("begin exchange: %w", err)
 	}
+	if e.begun != nil {
+		e.begun()
+	}
 	e.detachContext = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	a, err := e.roundTrip()
 	if err != nil {
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -51,6 +51,7 @@
 	admission *admission
 	// advisories is what the targets say about themselves.
 	advisories *bladvisory.Tracker
+	crashes    *crashDetector
 	// transfers is nil unless the VM's link is slow.
 	transfers    *transferQueue
 	answerSizes  *answerSizes
@@ -90,6 +91,7 @@
 		splitter: bltable.NewSplitter(rnd), balancer: blbalance.New(s.domain, advisories, rand.New(rand.NewSource(rnd.Int63()))),
 		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
 	}
+	f.crashes = newCrashDetector(f.pools.Of(s.targetAddress))
 	f.drainPeriod.Store(int64(s.drainPeriod))
 	f.feedContext, f.cancelFeeds = context.WithCancel(context.Background())
 	if s.slowLink {
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -18,6 +18,7 @@
 	slotWait *metrics.Histogram
 	late     *metrics.Counter
 	retries  *metrics.Counter
+	crashes  *metrics.Counter
 }
 
 func newCounters(f *Forwarder) *counters {
@@ -53,6 +54,7 @@
 		slotWait: set.NewHistogram("basillift_target_wait_seconds"),
 		late:     set.NewCounter("basillift_requests_late_total"),
 		retries:  set.NewCounter("basillift_repeats_total"),
+		crashes:  set.NewCounter("basillift_target_crashes_total"),
 	}
 }
 
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllog"
 )
 
 // drainMargin is how long before the end of the drain period of a leaving target its daemon stops admitting requests.
@@ -158,9 +159,12 @@
 	if ctx.Err() != nil {
 		return notRunAnswer(basillift.ReasonDeadline, 0), false
 	}
+	run := &targetRun{}
+	defer f.crashes.end(run)
 	e := &exchange{
 		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline,
 		requestID: r.header(names.RequestID()), idHeader: names.RequestID(), notRunHeader: names.NotRun(),
+		begun: func() { f.crashes.start(run) },
 	}
 	requestCtx := ctx
 	if !meta.retryable {
@@ -169,6 +173,9 @@
 	}
 	received, err := e.run(requestCtx, now)
 	if err != nil {
+		if !e.unsent && !isTimeout(err) {
+			f.recordCrash(time.Now(), f.crashes.detect(run))
+		}
 		return t.answerForError(time.Now(), e, err), false
 	}
 	if received.status != http.StatusMisdirectedRequest {
@@ -177,6 +184,18 @@
 	return t.classifyAnswer(received, meta)
 }
 
+// recordCrash records that the VM's own target crashed and ended these requests; none if it did not crash.
+func (f *Forwarder) recordCrash(now time.Time, ended []*targetRun) {
+	if len(ended) == 0 {
+		return
+	}
+	f.admission.markDown(now)
+	f.counters.crashes.Inc()
+	if f.log != nil {
+		f.log.Event(bllog.TargetCrashed()).Str("instance", f.ownTarget("").Instance()).Int("requests", len(ended)).Send()
+	}
+}
+
 // requestHeader returns the request line and the header fields for the target.
 func (t *targetSide) requestHeader(r *request, meta requestMetadata, now time.Time) []byte {
 	names := t.forwarder.settings.headerNames
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(),
-		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
+		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
 	}
 }
 
@@ -114,6 +114,11 @@
 // TargetLeaving is logged when the VM's target says in an answer that it is leaving.
 func TargetLeaving() Entry { return Entry{402, zerolog.InfoLevel, "target is leaving", "none"} }
 
+// TargetCrashed is logged when the VM's target broke off requests and refuses new connections.
+func TargetCrashed() Entry {
+	return Entry{403, zerolog.WarnLevel, "target crashed while it ran requests", "none if the target was stopped on purpose; otherwise look at its own log"}
+}
+
 // NoticeFailed is logged when a notice cannot be delivered.
 func NoticeFailed() Entry {
 	return Entry{500, zerolog.WarnLevel, "notice not delivered", "check the setting notify and its receiver"}
