blforwarder: an exchange reads what was written after its sender has ended

Cause: after a failed answer exchange.run read Conn.Written while the sender of a large body still wrote: a data race, and an outcome "not-run" is possible for a request of which bytes were sent a moment later. Change: the exchange is finished first, which waits for the sender.

--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -90,8 +90,9 @@
 	e.detachContext = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	a, err := e.roundTrip()
 	if err != nil {
-		e.unsent = conn.Written() == 0
 		e.finish(false)
+		// The sender has ended, so that nothing more is written.
+		e.unsent = conn.Written() == 0
 		return nil, err
 	}
 	if a.stream != nil {
