--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blquarantine"
 )
 
 var errTruncatedAnswer = eris.New("answer is truncated")
@@ -41,6 +42,8 @@
 	nestedCall bool
 	// feedHeader is the value of headerFeed in the answer to a daemon that asks for a newer routing table.
 	feedHeader string
+	// suspicion is what the target's daemon suspects the request of; nil if it is no suspect.
+	suspicion *blquarantine.Suspicion
 	// timedOut is set if the exchange with the target's daemon ended with a timeout.
 	timedOut bool
 }
@@ -153,6 +156,9 @@
 	if a.load != nil {
 		b = appendField(b, headerLoad, formatLoad(*a.load))
 	}
+	if a.suspicion != nil {
+		b = appendField(b, headerSuspicion, formatSuspicion(time.Now(), *a.suspicion))
+	}
 	return b
 }
 
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -12,6 +12,7 @@
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blbalance"
 	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blquarantine"
 	"basillift.dev/basillift/blretry"
 	"basillift.dev/basillift/bltable"
 )
@@ -47,7 +48,8 @@
 	earliestRetryAfter time.Duration
 	attempts           []attemptRecord
 	// nestedCall is set if a target's daemon classifies the request as a nested call of this VM's target.
-	nestedCall bool
+	nestedCall  bool
+	fingerprint func() blquarantine.Fingerprint
 }
 
 // serve implements handler for requests from callers.
@@ -127,7 +129,7 @@
 		parent = c.forwarder.admission.attributeCall(route.Name(), stats.servedRatio)
 	}
 	return &routedRequest{
-		request: r, route: route, service: c.forwarder.splitter.Pick(route),
+		request: r, route: route, service: c.forwarder.splitter.Pick(route), fingerprint: fingerprintOf(r),
 		metadata: requestMetadata{
 			route: route.Name(), rank: route.Priority(), retryable: route.Kind().Retryable(), latencyObjective: latencyObjective,
 			servedRatio: stats.servedRatio, parent: parent, retryProbability: parent.retryProbability,
@@ -144,6 +146,12 @@
 	// answer.
 	var targetFailure *answer
 	for {
+		if refusal := f.quarantine.refusal(time.Now(), rr.fingerprint); refusal != nil {
+			if sequence.MayHaveRun() {
+				refusal = unknownAnswer(http.StatusBadGateway, basillift.ReasonQuarantined)
+			}
+			return preferTargetAnswer(targetFailure, refusal)
+		}
 		a, result := c.attempt(ctx, rr)
 		now := time.Now()
 		if ctx.Err() != nil && result != blretry.AttemptAnswered {
@@ -233,6 +241,9 @@
 		f.advisories.ObserveReport(ended, target.Endpoint(), a.load.Advisory())
 	}
 	f.balancer.Ended(ended, target, query, balancerResult(ctx, result, a.timedOut), ended.Sub(now), a.load)
+	if a.suspicion != nil {
+		f.adoptSuspicions(ended, *a.suspicion)
+	}
 	f.counters.countAttempt(result)
 	rr.nestedCall = rr.nestedCall || a.nestedCall
 	rr.attempts = append(rr.attempts, attemptRecord{instance: instance, result: result, reason: a.reason, duration: ended.Sub(now), reportAge: reportAge})
@@ -292,6 +303,9 @@
 	}
 	a := &received.answer
 	a.parseInternalHeaders()
+	if s, ok := parseSuspicion(time.Now(), a.header(headerSuspicion), rr.fingerprint); ok {
+		a.suspicion = &s
+	}
 	f.gossip.ObserveRevision(a.newestRevision)
 	return a, attemptResult(a)
 }
@@ -371,6 +385,9 @@
 	// The target's daemon gives up earlier by the transfer time, so that its own answer arrives before the deadline.
 	metadata.deadline = metadata.deadline.Add(-answerMargin)
 	b = appendField(b, headerHop, metadata.format(now))
+	if s, known := c.forwarder.quarantine.suspicion(now, rr.fingerprint); known {
+		b = appendField(b, headerSuspicion, formatSuspicion(now, s))
+	}
 	return append(b, "\r\n"...)
 }
 
--- a/basillift/blforwarder/crash_test.go
+++ b/basillift/blforwarder/crash_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blquarantine"
 )
 
 // crashingPath is the path of the request that ends each target that starts to run it.
@@ -39,7 +45,7 @@
 			return false
 		}
 		if strings.HasPrefix(r.URL.Path, "/get/held") {
-			<-c.release
+			<-c.released()
 		}
 		return answerOK(w, r, body)
 	})
@@ -51,6 +57,20 @@
 	return c
 }
 
+// released returns the channel that is closed when held requests end.
+func (c *crashableTarget) released() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.release
+}
+
+// holdAgain makes the target hold requests again after release was closed.
+func (c *crashableTarget) holdAgain() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.release = make(chan struct{})
+}
+
 // crash closes the listener and resets all connections.
 func (c *crashableTarget) crash() {
 	c.mutex.Lock()
@@ -217,3 +237,170 @@
 		assertCrashes(t, m, 0)
 	})
 }
+
+// assertStatus sends a request to a daemon and checks the status of its answer.
+func (m *crashMesh) assertStatus(t *testing.T, daemon int, format func(id string) string, want int) {
+	t.Helper()
+	is.New(t).Equal(m.send(t, daemon, format), want)
+}
+
+// awaitQuarantine waits until a daemon refuses the crashing request.
+func (m *crashMesh) awaitQuarantine(t *testing.T, daemon int) {
+	t.Helper()
+	fingerprint := fingerprintOf(&request{method: http.MethodGet, host: "shop.example", uri: crashingPath})
+	for end := time.Now().Add(hangGuard); m.forwarders[daemon].quarantine.refusal(time.Now(), fingerprint) == nil; {
+		if time.Now().After(end) {
+			t.Fatalf("daemon %d does not learn of the crashes", daemon)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func crashRequest(id string) string { return get(id, crashingPath) }
+
+// Guards against a quarantine that harms callers: a wrong answer to the request itself, or refusals of harmless requests.
+func TestQuarantineSparesHarmlessRequests(t *testing.T) {
+	t.Run("answer of a quarantined request", func(t *testing.T) {
+		m := startCrashMesh(t, 3, crashesOnPath)
+		m.assertStops(t, crashRequest)
+		c := m.dial(t, 0)
+		c.send(crashRequest("last"))
+		a := c.assertAnswer(http.StatusServiceUnavailable, "")
+		seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		is.New(t).NoErr(err)
+		is.New(t).True(seconds > 60)
+	})
+	t.Run("request that ran beside it", func(t *testing.T) {
+		m := startCrashMesh(t, 1, crashesOnPath)
+		bystander := func(id string) string { return get(id, "/get/held") }
+		held := m.startHeld(t, 0, bystander)
+		m.assertStatus(t, 0, crashRequest, http.StatusBadGateway)
+		is.New(t).Equal(held.read().status, http.StatusBadGateway)
+		close(m.targets[0].release)
+		for range 2 {
+			m.restartTargets(t)
+			m.assertStatus(t, 0, bystander, http.StatusOK)
+			m.send(t, 0, crashRequest)
+		}
+		m.restartTargets(t)
+		m.assertStatus(t, 0, bystander, http.StatusOK)
+		m.assertStatus(t, 0, crashRequest, http.StatusServiceUnavailable)
+		is.New(t).Equal(m.crashes(), 2)
+	})
+	t.Run("same request in flight at two crashes of other cause", func(t *testing.T) {
+		m := startCrashMesh(t, 1, crashesOnPath)
+		popular := func(id string) string { return get(id, "/get/held") }
+		for range 2 {
+			held := m.startHeld(t, 0, popular)
+			m.targets[0].crash()
+			is.New(t).Equal(held.read().status, http.StatusBadGateway)
+			close(m.targets[0].release)
+			m.restartTargets(t)
+			for range 3 {
+				m.assertStatus(t, 0, popular, http.StatusOK)
+				<-m.targets[0].started
+			}
+			m.targets[0].holdAgain()
+		}
+		close(m.targets[0].release)
+		m.assertStatus(t, 0, popular, http.StatusOK)
+	})
+	t.Run("target that breaks off each answer", func(t *testing.T) {
+		m := &crashMesh{mesh: startMesh(t, startTarget(t, func(net.Conn, *http.Request, []byte) bool { return false }))}
+		for range 5 {
+			m.assertStatus(t, 0, crashRequest, http.StatusBadGateway)
+		}
+	})
+	t.Run("other body, path or method", func(t *testing.T) {
+		m := startCrashMesh(t, 3, func(_ *http.Request, body []byte) bool { return string(body) == "crash" })
+		m.assertStops(t, func(id string) string { return post(id, "crash") })
+		m.assertStatus(t, 0, func(id string) string { return post(id, "crash!") }, http.StatusOK)
+		m.assertStatus(t, 0, func(id string) string { return get(id, "/post/x") }, http.StatusOK)
+	})
+}
+
+// Guards against daemons that learn of a crashing request too late or never.
+func TestQuarantineReachesAllDaemons(t *testing.T) {
+	t.Run("daemon that starts later", func(t *testing.T) {
+		m := startCrashMesh(t, 2, crashesOnPath)
+		m.assertStops(t, crashRequest)
+		added := startCrashableTarget(t, crashesOnPath)
+		m.targets = append(m.targets, added)
+		m.start(t, 2, added.fakeTarget)
+		m.awaitQuarantine(t, 2)
+	})
+	t.Run("daemon that cannot be reached at first", func(t *testing.T) {
+		m := startCrashMesh(t, 2, crashesOnPath)
+		reserved, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		address := reserved.Addr().String()
+		is.New(t).NoErr(reserved.Close())
+		entry := basillift.NewEndpoint("i9", "gallery", "127.0.0.1:1", "a", 4, basillift.TargetReady).WithDaemon(address)
+		m.fleet.Apply(time.Now(), basillift.NewRegistryEntry("t9", 9).WithEndpoint(entry))
+		m.assertStops(t, crashRequest)
+		cutOff := New(NewSettings("127.0.0.1:0", address, "127.0.0.1:0").WithTarget("127.0.0.1:1", "gallery", "a").WithHeaderNames(testHeaderNames), m.tables, blfleet.New(), nil, rand.New(rand.NewSource(9)))
+		cutOff.SetRevisionGossip(fixedGossip{})
+		m.run(t, cutOff)
+		m.awaitQuarantine(t, len(m.forwarders)-1)
+	})
+	t.Run("daemon that missed the announcement", func(t *testing.T) {
+		m := startCrashMesh(t, 2, crashesOnPath)
+		f := m.forwarders[0]
+		fingerprint := fingerprintOf(&request{method: http.MethodGet, host: "shop.example", uri: crashingPath})
+		f.quarantine.merge(time.Now(), blquarantine.NewSuspicion(fingerprint(), 2, time.Now()))
+		m.awaitQuarantine(t, 1)
+	})
+}
+
+// Guards against two suspects at one target: its next crash would not tell which of them causes it.
+func TestSuspectsRunOneAfterAnother(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	q := newQuarantine(func() []blquarantine.Fingerprint { return nil })
+	first, second := newTargetRun(&request{uri: "/1"}), newTargetRun(&request{uri: "/2"})
+	harmless := newTargetRun(&request{uri: "/3"})
+	q.merge(now, blquarantine.NewSuspicion(first.fingerprint(), 1, now), blquarantine.NewSuspicion(second.fingerprint(), 1, now))
+	is.True(q.enter(t.Context(), now, first, now, 0) == nil)
+	is.True(q.enter(t.Context(), now, harmless, now, 0) == nil)
+	refusal := q.enter(t.Context(), now, second, now.Add(hangGuard), 2*hangGuard)
+	is.Equal(refusal.reason, basillift.ReasonOverload)
+	is.Equal(refusal.retryAfter, 2*hangGuard)
+	refusal = q.enter(t.Context(), now, second, now, 0)
+	is.Equal(refusal.reason, basillift.ReasonOverload)
+	entered := make(chan *answer)
+	go func() { entered <- q.enter(t.Context(), now, second, now.Add(hangGuard), 0) }()
+	q.leave(first)
+	is.True(<-entered == nil)
+	q.leave(second)
+	is.True(q.enter(t.Context(), now, first, now, 0) == nil)
+}
+
+// Guards against suspicions that another daemon decodes to other values, and against malformed ones.
+func TestSuspicionsRoundTrip(t *testing.T) {
+	now := time.Now()
+	sent := []blquarantine.Suspicion{blquarantine.NewSuspicion(7, 2, now.Add(-3*time.Second)), blquarantine.NewSuspicion(9, 0, now)}
+	t.Run("message", func(t *testing.T) {
+		body, err := formatSuspicions(now, sent)
+		is.New(t).NoErr(err)
+		got, err := parseSuspicions(now, body)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(got, sent)
+	})
+	t.Run("header", func(t *testing.T) {
+		got, ok := parseSuspicion(now, formatSuspicion(now, sent[0]), func() blquarantine.Fingerprint { return 7 })
+		is.New(t).True(ok)
+		is.New(t).Equal(got, sent[0])
+	})
+	for _, text := range []string{"", "2", "0 1", "-1 1", "2 -1", "2 x", "2 99999999999999999", "99999999999999999999 1"} {
+		t.Run("malformed header "+text, func(t *testing.T) {
+			_, ok := parseSuspicion(now, text, func() blquarantine.Fingerprint { return 7 })
+			is.New(t).True(!ok)
+		})
+	}
+	for _, body := range []string{"x", `{"suspicions":[{"fingerprint":"z"}]}`, `{"suspicions":[{"fingerprint":"1","crashes":-1}]}`, `{"suspicions":[{"fingerprint":"1","age":9223372036854775807}]}`} {
+		t.Run("malformed message "+body, func(t *testing.T) {
+			_, err := parseSuspicions(now, []byte(body))
+			is.New(t).True(err != nil)
+		})
+	}
+}
--- a/basillift/blforwarder/crashdetector.go
+++ b/basillift/blforwarder/crashdetector.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basillift.dev/basillift/blpool"
+	"basillift.dev/basillift/blquarantine"
 )
 
 const (
@@ -19,10 +20,21 @@
 
 // targetRun is a request at the VM's own target.
 type targetRun struct {
+	fingerprint func() blquarantine.Fingerprint
 	// crashed is set once a crash of the target was recorded during the run.
 	crashed bool
 }
 
+func newTargetRun(r *request) *targetRun { return &targetRun{fingerprint: fingerprintOf(r)} }
+
+// fingerprintOf returns a function that computes the fingerprint of a request at its first call. Of a body that is streamed
+// the fingerprint covers the part in memory.
+func fingerprintOf(r *request) func() blquarantine.Fingerprint {
+	return sync.OnceValue(func() blquarantine.Fingerprint {
+		return blquarantine.NewFingerprint("", r.host, r.method, r.uri, r.body)
+	})
+}
+
 // crashDetector detects that the VM's own target has crashed, and keeps which requests ran there. A target may also break off
 // a request deliberately, or reset a connection; it has crashed only if it refuses new connections too.
 type crashDetector struct {
@@ -51,45 +63,60 @@
 	delete(c.runs, run)
 }
 
-// detect is called when the target broke off a run that has not ended yet. It returns all runs that a crash has ended,
-// or none if the target did not crash. Each crash is returned once; the calls for the other runs that it ended return
-// none after that.
-func (c *crashDetector) detect(run *targetRun) []*targetRun {
+// fingerprints returns those of all requests at the target.
+func (c *crashDetector) fingerprints() []blquarantine.Fingerprint {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	all := make([]blquarantine.Fingerprint, 0, len(c.runs))
+	for run := range c.runs {
+		all = append(all, run.fingerprint())
+	}
+	return all
+}
+
+// detect is called when the target broke off a run that has not ended yet. If the target has crashed, record is called with
+// all runs that the crash has ended, once for each crash. detect returns after record, also for the other runs that it ended.
+func (c *crashDetector) detect(run *targetRun, record func(ended []*targetRun)) {
 	probing, first := c.startProbe(run)
 	if !first {
-		if probing != nil {
-			<-probing
-		}
-		return nil
+		<-probing
+		return
+	}
+	if c.targetRefusesConnections() {
+		record(c.markCrashed())
 	}
-	refused := c.targetRefusesConnections()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	close(c.probing)
 	c.probing = nil
-	if !refused {
-		return nil
-	}
+}
+
+// markCrashed marks all runs at the target as ended by a crash and returns them.
+func (c *crashDetector) markCrashed() []*targetRun {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	var ended []*targetRun
-	for each := range c.runs {
-		if !each.crashed {
-			each.crashed = true
-			ended = append(ended, each)
+	for run := range c.runs {
+		if !run.crashed {
+			run.crashed = true
+			ended = append(ended, run)
 		}
 	}
 	return ended
 }
 
-// startProbe returns true if the calling goroutine has to probe the target. Otherwise it returns the channel of the pending
-// probe, or nil if the crash that ended the run is known already.
+// startProbe returns true if the calling goroutine has to probe the target. Otherwise it returns a channel that is closed when
+// it is known whether the target has crashed.
 func (c *crashDetector) startProbe(run *targetRun) (probing <-chan struct{}, first bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	switch {
-	case run.crashed:
-		return nil, false
 	case c.probing != nil:
 		return c.probing, false
+	case run.crashed:
+		known := make(chan struct{})
+		close(known)
+		return known, false
 	}
 	c.probing = make(chan struct{})
 	return c.probing, true
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -200,8 +200,14 @@
 	fw := New(s, m.tables, m.fleet, nil, rand.New(rand.NewSource(int64(i)+1)))
 	fw.SetRevisionGossip(fixedGossip{})
 	fw.SetFeedServer(fakeFeed{})
+	m.run(t, fw)
+	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), uint64(i)+1).WithEndpoint(m.endpointOf(i, f)))
+}
+
+// run starts a daemon and stops it at the end of the test.
+func (m *mesh) run(t *testing.T, fw *Forwarder) {
+	t.Helper()
 	is.New(t).NoErr(fw.Listen())
-	callerAddress, daemonAddress := fw.callerServer.listener.Addr().String(), fw.meshServer.listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- fw.Run(ctx) }()
@@ -210,9 +216,8 @@
 		is.New(t).NoErr(<-done)
 	})
 	m.forwarders = append(m.forwarders, fw)
-	m.callerAddresses = append(m.callerAddresses, callerAddress)
-	m.daemonAddresses = append(m.daemonAddresses, daemonAddress)
-	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), uint64(i)+1).WithEndpoint(m.endpointOf(i, f)))
+	m.callerAddresses = append(m.callerAddresses, fw.callerServer.listener.Addr().String())
+	m.daemonAddresses = append(m.daemonAddresses, fw.meshServer.listener.Addr().String())
 }
 
 // endpointOf returns the entry of a target with the given number.
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -52,6 +52,8 @@
 	// advisories is what the targets say about themselves.
 	advisories *bladvisory.Tracker
 	crashes    *crashDetector
+	quarantine *quarantine
+	announcer  *suspicionAnnouncer
 	// transfers is nil unless the VM's link is slow.
 	transfers    *transferQueue
 	answerSizes  *answerSizes
@@ -92,6 +94,8 @@
 		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
 	}
 	f.crashes = newCrashDetector(f.pools.Of(s.targetAddress))
+	f.quarantine = newQuarantine(f.crashes.fingerprints)
+	f.announcer = newSuspicionAnnouncer(f, rand.New(rand.NewSource(rnd.Int63())))
 	f.drainPeriod.Store(int64(s.drainPeriod))
 	f.feedContext, f.cancelFeeds = context.WithCancel(context.Background())
 	if s.slowLink {
@@ -133,6 +137,8 @@
 func (f *Forwarder) Run(ctx context.Context) error {
 	f.tasks.Go(func() { f.meshServer.loop(ctx) })
 	f.tasks.Go(func() { f.callerServer.loop(ctx) })
+	f.announcer.resync(time.Now())
+	f.tasks.Go(func() { f.announcer.loop(ctx) })
 	f.tasks.Go(func() { _ = f.readyServer.Serve(f.readyListener) })
 	f.loop(ctx)
 	f.cancelFeeds()
@@ -173,6 +179,10 @@
 	f.allowance.SetLimits(retryRatio, fixedRetries)
 }
 
+// Reconnected must be called when the daemon may have been cut off from other daemons, and so may lack what they have learned
+// about requests that crash targets.
+func (f *Forwarder) Reconnected(now time.Time) { f.announcer.resync(now) }
+
 // TargetsChanged must be called after the routing table or the fleet has changed.
 func (f *Forwarder) TargetsChanged(now time.Time) {
 	if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -230,7 +230,7 @@
 		early, err := net.Listen("tcp", "127.0.0.1:0")
 		is.New(t).NoErr(err)
 		defer func() { _ = early.Close() }()
-		f := &fakeTarget{listener: early}
+		f := &fakeTarget{address: early.Addr().String(), listener: early}
 		go func() {
 			conn, err := early.Accept()
 			if err != nil {
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -76,11 +76,17 @@
 	if text := r.header(headerFeed); text != "" {
 		return t.answerFeed(ctx, text)
 	}
+	if digest := r.header(headerSuspicions); digest != "" {
+		return t.answerSuspicions(r.arrived, r, digest)
+	}
 	meta, ok := parseMetadata(r.header(headerHop), r.arrived)
 	if !ok {
 		return rejectedAnswer(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
 	t.forwarder.gossip.ObserveRevision(meta.newestRevision)
+	if s, ok := parseSuspicion(r.arrived, r.header(headerSuspicion), fingerprintOf(r)); ok {
+		t.forwarder.adoptSuspicions(r.arrived, s)
+	}
 	if r.header(headerPermit) != "" {
 		a := t.serveReservation(ctx, r, meta)
 		a.newestRevision = t.forwarder.gossip.NewestRevision()
@@ -97,18 +103,29 @@
 // run admits a request and sends it to the target. The answer carries the target's load report.
 func (t *targetSide) run(ctx context.Context, r *request, meta requestMetadata) *answer {
 	meta.callerService = r.header(t.forwarder.settings.headerNames.Caller())
-	a := t.admit(ctx, r, meta)
+	run := newTargetRun(r)
+	a := t.admit(ctx, r, run, meta)
+	t.forwarder.quarantine.leave(run)
 	a.load = t.loadReport()
+	if s, known := t.forwarder.quarantine.suspicion(time.Now(), run.fingerprint); known {
+		a.suspicion = &s
+	}
 	return a
 }
 
-func (t *targetSide) admit(ctx context.Context, r *request, meta requestMetadata) *answer {
+func (t *targetSide) admit(ctx context.Context, r *request, run *targetRun, meta requestMetadata) *answer {
 	f := t.forwarder
 	now := time.Now()
 	f.observeCallerAdvisory(now, meta)
 	if refusal := t.checkAvailable(now, meta); refusal != nil {
 		return refusal
 	}
+	if f.quarantine.active.Load() {
+		latest := meta.deadline.Add(-f.admission.serviceTimeBound(meta))
+		if refusal := f.quarantine.enter(ctx, now, run, latest, f.admission.load().MeanServiceTime()); refusal != nil {
+			return refusal
+		}
+	}
 	meta = f.admission.classify(now, meta)
 	id, refusal := f.admission.acquire(ctx, now, r.header(f.settings.headerNames.RequestID()), meta)
 	if refusal != nil {
@@ -116,9 +133,17 @@
 		return refusal
 	}
 	started := time.Now()
+	// The request may have become a suspect while it waited for the slot.
+	if refusal, wait := f.quarantine.tryEnter(started, run); refusal != nil || wait != nil {
+		f.admission.release(started, id, false)
+		if refusal == nil {
+			refusal = notRunAnswer(basillift.ReasonOverload, 0)
+		}
+		return refusal
+	}
 	f.counters.slotWait.Update(started.Sub(now).Seconds())
 	f.admission.observeStart(meta)
-	a, observed := t.sendToTarget(ctx, r, meta)
+	a, observed := t.sendToTarget(ctx, r, run, meta)
 	f.admission.observeEnd(meta, time.Since(started))
 	a.nestedCall = meta.nestedCall
 	if a.stream == nil {
@@ -150,7 +175,7 @@
 
 // sendToTarget sends a request to the target and waits for the answer. observed is false if the request did not run
 // to its end, so that its service time must not be counted.
-func (t *targetSide) sendToTarget(ctx context.Context, r *request, meta requestMetadata) (a *answer, observed bool) {
+func (t *targetSide) sendToTarget(ctx context.Context, r *request, run *targetRun, meta requestMetadata) (a *answer, observed bool) {
 	f := t.forwarder
 	names := f.settings.headerNames
 	now := time.Now()
@@ -159,7 +184,6 @@
 	if ctx.Err() != nil {
 		return notRunAnswer(basillift.ReasonDeadline, 0), false
 	}
-	run := &targetRun{}
 	defer f.crashes.end(run)
 	e := &exchange{
 		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline,
@@ -174,26 +198,29 @@
 	received, err := e.run(requestCtx, now)
 	if err != nil {
 		if !e.unsent && !isTimeout(err) {
-			f.recordCrash(time.Now(), f.crashes.detect(run))
+			f.crashes.detect(run, func(ended []*targetRun) { f.recordCrash(time.Now(), ended) })
 		}
 		return t.answerForError(time.Now(), e, err), false
 	}
+	f.crashes.end(run)
 	if received.status != http.StatusMisdirectedRequest {
 		f.observeOwnAnswer(time.Now(), meta.instance, &received.answer)
 	}
-	return t.classifyAnswer(received, meta)
+	a, observed = t.classifyAnswer(received, meta)
+	if a.outcome == basillift.OutcomeDone && a.status < http.StatusInternalServerError {
+		f.announceSuspicions(f.quarantine.recordSuccess(time.Now(), run))
+	}
+	return a, observed
 }
 
-// recordCrash records that the VM's own target crashed and ended these requests; none if it did not crash.
+// recordCrash records that the VM's own target crashed and ended these requests.
 func (f *Forwarder) recordCrash(now time.Time, ended []*targetRun) {
-	if len(ended) == 0 {
-		return
-	}
 	f.admission.markDown(now)
 	f.counters.crashes.Inc()
 	if f.log != nil {
 		f.log.Event(bllog.TargetCrashed()).Str("instance", f.ownTarget("").Instance()).Int("requests", len(ended)).Send()
 	}
+	f.announceSuspicions(f.quarantine.recordCrash(now, ended))
 }
 
 // requestHeader returns the request line and the header fields for the target.
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(),
-		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(),
+		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
 	}
 }
 
@@ -144,6 +144,11 @@
 	return Entry{701, zerolog.InfoLevel, "lines about requests left out", "none; the counters have all of them"}
 }
 
+// RequestQuarantined is logged when a request that crashes targets is refused from now on, at each daemon.
+func RequestQuarantined() Entry {
+	return Entry{702, zerolog.WarnLevel, "request is quarantined", "see docs/OPERATIONS.md, a request that crashes targets"}
+}
+
 // EventsPage returns the content of docs/events.md, generated from the catalogue and the kinds of timeline events.
 func EventsPage() string {
 	var page strings.Builder
--- a/basillift/blquarantine/suspiciontable.go
+++ b/basillift/blquarantine/suspiciontable.go
@@ -24,14 +24,17 @@
 	// all daemons.
 	maxPropagationDelay = 250 * time.Millisecond
 	// maxFingerprintBodyBytes limits the part of the body that the fingerprint covers.
-	maxFingerprintBodyBytes = 64 << 10
+	maxFingerprintBodyBytes = 512 << 10
+	// changeTimeTolerance is how much the times of one change may differ between daemons that have received it along
+	// different ways.
+	changeTimeTolerance = time.Second
 )
 
 // Fingerprint is a hash that is the same for requests that a target cannot tell apart.
 type Fingerprint uint64
 
-// NewFingerprint returns the fingerprint of a request. It covers only the first 64 KB
-// of the body.
+// NewFingerprint returns the fingerprint of a request. service may be the host, where
+// hosts select the service. It covers only the first 512 KB of the body.
 func NewFingerprint(customer, service, method, path string, body []byte) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
@@ -74,6 +77,9 @@
 // request was cleared.
 func (s Suspicion) Crashes() int { return s.crashes }
 
+// Quarantined reports whether the crashes suffice for a quarantine.
+func (s Suspicion) Quarantined() bool { return s.crashes >= crashesToQuarantine }
+
 // ChangedAt is the time of the latest crash, or of the success that cleared the request.
 func (s Suspicion) ChangedAt() time.Time { return s.changedAt }
 
@@ -105,6 +111,21 @@
 	}
 }
 
+// QuarantineLeft returns how much longer a request is quarantined; 0 if it is not.
+func (t *SuspicionTable) QuarantineLeft(now time.Time, fp Fingerprint) time.Duration {
+	s := t.suspicions[fp]
+	if s.crashes < crashesToQuarantine {
+		return 0
+	}
+	return max(0, suspicionLifetime-now.Sub(s.changedAt))
+}
+
+// Suspicion returns the suspicion against a request; false if it is neither a suspect nor quarantined.
+func (t *SuspicionTable) Suspicion(now time.Time, fp Fingerprint) (Suspicion, bool) {
+	s := t.suspicions[fp]
+	return s, s.crashes > 0 && !s.expired(now)
+}
+
 // MayRunAlone reports whether a suspect may start on a target with these requests in
 // flight. None of them may be a suspect, not even another copy of the same request.
 func (t *SuspicionTable) MayRunAlone(now time.Time, inFlight []Fingerprint) bool {
@@ -229,13 +250,18 @@
 // suspect.
 func (t *SuspicionTable) supersedes(now time.Time, s Suspicion) bool {
 	own, known := t.suspicions[s.fingerprint]
+	later := s.changedAt.Sub(own.changedAt)
 	switch {
 	case !known || own.expired(now):
 		return true
 	case own.crashes >= crashesToQuarantine || s.crashes >= crashesToQuarantine:
-		return s.crashes > own.crashes || s.crashes == own.crashes && s.changedAt.After(own.changedAt)
+		return s.crashes > own.crashes || s.crashes == own.crashes && later > changeTimeTolerance
+	case s.crashes == 0 && own.crashes > 0:
+		return later > 0
 	default:
-		return s.changedAt.After(own.changedAt) || s.changedAt.Equal(own.changedAt) && s.crashes > own.crashes
+		// A relayed copy of the same crash seems to be a little later. It must not renew the suspicion, or undo that the
+		// request was cleared.
+		return later > changeTimeTolerance
 	}
 }
 
--- a/basillift/blquarantine/suspiciontable_test.go
+++ b/basillift/blquarantine/suspiciontable_test.go
@@ -64,7 +64,35 @@
 		is.New(t).Equal(len(table.Snapshot(later)), maxSuspicions)
 		assertDecision(t, table, later, 1, DecisionQuarantine)
 	})
-	t.Run("only the first 64 KB of the body count", func(t *testing.T) {
+	t.Run("a relayed copy renews nothing", func(t *testing.T) {
+		table := NewSuspicionTable()
+		table.RecordCrash(epoch, []Fingerprint{1})
+		relayed := NewSuspicion(1, 1, epoch.Add(changeTimeTolerance))
+		is.New(t).Equal(len(table.Merge(later, []Suspicion{relayed})), 0)
+		for range successesToClear {
+			table.RecordSuccess(epoch.Add(time.Millisecond), 1)
+		}
+		is.New(t).Equal(len(table.Merge(later, []Suspicion{relayed})), 0)
+		assertDecision(t, table, later, 1, DecisionAllow)
+	})
+	t.Run("a success elsewhere clears", func(t *testing.T) {
+		table := NewSuspicionTable()
+		table.RecordCrash(epoch, []Fingerprint{1})
+		table.Merge(later, []Suspicion{NewSuspicion(1, 0, epoch.Add(time.Millisecond))})
+		assertDecision(t, table, later, 1, DecisionAllow)
+	})
+	t.Run("time left", func(t *testing.T) {
+		table := NewSuspicionTable()
+		table.RecordCrash(epoch, []Fingerprint{1})
+		is.New(t).Equal(table.QuarantineLeft(epoch, 1), time.Duration(0))
+		suspicion, known := table.Suspicion(epoch, 1)
+		is.New(t).True(known && suspicion.Crashes() == 1 && !suspicion.Quarantined())
+		table.RecordCrash(later, []Fingerprint{1})
+		is.New(t).Equal(table.QuarantineLeft(later.Add(time.Minute), 1), suspicionLifetime-time.Minute)
+		_, known = table.Suspicion(later.Add(2*suspicionLifetime), 1)
+		is.New(t).True(!known)
+	})
+	t.Run("only the first 512 KB of the body count", func(t *testing.T) {
 		body := make([]byte, maxFingerprintBodyBytes+1)
 		fp := NewFingerprint("a", "b", "GET", "/c", body)
 		body[maxFingerprintBodyBytes] = 1
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -343,6 +343,7 @@
 	if !partitioned {
 		d.fleet.RegistryRecovered(now)
 	}
+	d.forwarder.Reconnected(now)
 	if d.cache != nil {
 		d.cache.SetRegistryDown(false)
 	}
