basilliftd: a complete listing of the registry is logged (CONFIG)

Cause: after the store came back from a copy the log didn't tell whether daemons list it again, and at which revision. Change: event 207 with the revision and the number of tables and targets.

--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -24,7 +24,7 @@
 func Catalogue() []Entry {
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
-		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(),
+		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(),
 		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
 	}
 }
@@ -94,6 +94,11 @@
 	return Entry{206, zerolog.InfoLevel, "request for changes ended without an answer", "none; if it recurs, check the connections to the platform"}
 }
 
+// PlatformListed is logged when the daemon has read everything that the platform holds.
+func PlatformListed() Entry {
+	return Entry{207, zerolog.InfoLevel, "platform was listed", "none; if it recurs without a failure before it, report the lines"}
+}
+
 // MemberDied is logged when a member is declared dead.
 func MemberDied() Entry { return Entry{300, zerolog.InfoLevel, "member died", "none"} }
 
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -269,6 +269,7 @@
 			endpoints = append(endpoints, entry)
 		}
 	}
+	d.log.Event(bllog.PlatformListed()).Uint64("revision", revision).Int("tables", len(tables)).Int("targets", len(endpoints)).Send()
 	// The targets come before the tables: the first table releases the waiting requests, which need targets.
 	d.fleet.Replace(now, endpoints)
 	for _, entry := range tables {
