basillift: revisions are ordered by era, then by number (CONFIG, DRAIN)

What callers saw: after the store had come back from a copy, confirmed tables were not in force for many seconds, and requests went to targets that had left. Cause: revisions were compared as numbers, the larger one for the newer state. After a return smaller numbers name newer states, and numbers are given out again. So a listing counted as old and started again without end, entries and hints of the new state were ignored, a watch could go on from a number that meant something else, and a reader counted as current. The class of fault: an order that holds only while its source never loses what it has confirmed. Change: basillift.Revision holds era and number in one ordered value, and replaces uint64 wherever revisions are kept or compared. The watcher applies no changes of another era and lists again; a hint of a newer era ends its wait. Events 207 (era) and 208, metric basillift_registry_era. Why this works: all comparisons take the same value, whose order agrees with the order of the store's states, over any number of returns.

--- a/basillift/blbalance/balancer_test.go
+++ b/basillift/blbalance/balancer_test.go
@@ -25,7 +25,7 @@
 			domain = "far"
 		}
 		e := basillift.NewEndpoint(fmt.Sprintf("i%02d", i), "s", fmt.Sprintf("x:%d", i), domain, 9, basillift.TargetReady)
-		f.Apply(begin.Add(-time.Minute), basillift.NewRegistryEntry(e.Instance(), uint64(i)+1).WithEndpoint(e))
+		f.Apply(begin.Add(-time.Minute), basillift.NewRegistryEntry(e.Instance(), basillift.Revision(i)+1).WithEndpoint(e))
 	}
 	return f.Targets("s")
 }
--- a/basillift/blfeed/body.go
+++ b/basillift/blfeed/body.go
@@ -16,15 +16,15 @@
 	// no longer has the follower's. It is missing if the follower has the newest one.
 	Table json.RawMessage `json:"table,omitempty"`
 	// TableKey and TableRevision are the key and revision of the newest table in the registry.
-	TableKey      string       `json:"tableKey,omitempty"`
-	TableRevision uint64       `json:"tableRevision,omitempty"`
-	Targets       []feedTarget `json:"targets,omitempty"`
+	TableKey      string             `json:"tableKey,omitempty"`
+	TableRevision basillift.Revision `json:"tableRevision,omitempty"`
+	Targets       []feedTarget       `json:"targets,omitempty"`
 }
 
 // feedTarget is the entry of a target, or only its key and revision if there is no usable entry.
 type feedTarget struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
+	Key      string             `json:"key"`
+	Revision basillift.Revision `json:"revision"`
 	// Unusable is set if the key has no usable entry: the entry was removed or its content is invalid.
 	Unusable bool                    `json:"gone,omitempty"`
 	Instance string                  `json:"instance,omitempty"`
--- a/basillift/blfeed/cache.go
+++ b/basillift/blfeed/cache.go
@@ -48,10 +48,10 @@
 	changes []cachedEntry
 	// historyStart is the revision after which the cache holds every change. completeRevision is the revision up to
 	// which it holds every change.
-	historyStart     uint64
-	completeRevision uint64
+	historyStart     basillift.Revision
+	completeRevision basillift.Revision
 	// newestRevision is the newest revision of any entry.
-	newestRevision uint64
+	newestRevision basillift.Revision
 	registryDown   bool
 	// lastAnswer returns the time of the registry's last answer; nil if that time is not tracked.
 	lastAnswer func() time.Time
@@ -89,7 +89,7 @@
 }
 
 // Replace replaces the entries of all targets by those of a complete listing at a revision.
-func (c *Cache) Replace(now time.Time, revision uint64, all []basillift.RegistryEntry) {
+func (c *Cache) Replace(now time.Time, revision basillift.Revision, all []basillift.RegistryEntry) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	clear(c.entries)
@@ -124,7 +124,14 @@
 	c.notifyWaiters()
 }
 
-func (c *Cache) observe(revision uint64) {
+// Observe records an entry that changes nothing, such as a table that was published again.
+func (c *Cache) Observe(e basillift.RegistryEntry) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.observe(e.Revision())
+}
+
+func (c *Cache) observe(revision basillift.Revision) {
 	c.newestRevision, c.completeRevision = max(c.newestRevision, revision), max(c.completeRevision, revision)
 }
 
--- a/basillift/blfeed/cache_test.go
+++ b/basillift/blfeed/cache_test.go
@@ -28,13 +28,13 @@
 	return built
 }
 
-func entryOf(key string, revision uint64) basillift.RegistryEntry {
+func entryOf(key string, revision basillift.Revision) basillift.RegistryEntry {
 	return basillift.NewRegistryEntry(key, revision).WithEndpoint(
 		basillift.NewEndpoint(key, "a", "10.0.0.1:80", "z", 9, basillift.TargetReady).
-			WithDaemon("10.0.0.1:81").WithStart(start, 3*time.Second).WithSequence(revision))
+			WithDaemon("10.0.0.1:81").WithStart(start, 3*time.Second).WithSequence(uint64(revision)))
 }
 
-func removal(key string, revision uint64) basillift.RegistryEntry {
+func removal(key string, revision basillift.Revision) basillift.RegistryEntry {
 	return basillift.NewRegistryEntry(key, revision)
 }
 
@@ -73,7 +73,7 @@
 }
 
 // changesSince returns the request of a daemon that holds table 1 and all changes up to a revision.
-func changesSince(complete, newest uint64) basillift.FeedRequest {
+func changesSince(complete, newest basillift.Revision) basillift.FeedRequest {
 	return basillift.NewFeedRequest(1, 0).Since(complete, newest)
 }
 
@@ -112,7 +112,7 @@
 		// The first page is as of 20; y was read after x had been removed at 21.
 		c.Replace(start, 20, []basillift.RegistryEntry{entryOf("x", 11), entryOf("y", 22)})
 		r := c.ServeFeed(context.Background(), basillift.NewFeedRequest(1, 0))
-		is.New(t).Equal(r.Revision(), uint64(20))
+		is.New(t).Equal(r.Revision(), basillift.Revision(20))
 		c.Apply(start, removal("x", 21))
 		c.Apply(start, entryOf("y", 22))
 		assertReply(t, c, changesSince(20, 12), basillift.FeedChanges, "x@21 gone", "y@22")
@@ -125,13 +125,13 @@
 	})
 	t.Run("size limits", func(t *testing.T) {
 		c := newTestCache(t)
-		for i := range uint64(maxChanges + 5) {
+		for i := range basillift.Revision(maxChanges + 5) {
 			c.Apply(start, entryOf("z", 21+i))
 		}
 		is.New(t).Equal(len(c.changes), maxChanges)
 		assertReply(t, c, changesSince(20, 20), basillift.FeedFull)
 		for version := uint64(2); version < 20; version++ {
-			c.Adopt(basillift.NewRegistryEntry("table", 5000+version), table(t, version))
+			c.Adopt(basillift.NewRegistryEntry("table", basillift.Revision(5000+version)), table(t, version))
 		}
 		is.New(t).Equal(len(c.tables), maxTables)
 	})
--- a/basillift/blfeed/followerregistry.go
+++ b/basillift/blfeed/followerregistry.go
@@ -44,10 +44,10 @@
 	neighbors func() []basillift.Neighbor
 	// completeRevision is the revision up to which this daemon holds all changes. newestRevision is the newest
 	// revision of any entry.
-	completeRevision atomic.Uint64
-	newestRevision   atomic.Uint64
+	completeRevision maxRevision
+	newestRevision   maxRevision
 	// peerRevision is the newest revision of an entry that another daemon has reported.
-	peerRevision atomic.Uint64
+	peerRevision maxRevision
 	// lastRelayed is set while the last answer came from a reader.
 	lastRelayed atomic.Bool
 	// reader is the address of the followed reader; empty for none.
@@ -84,7 +84,8 @@
 func (r *FollowerRegistry) List(ctx context.Context, after string) (basillift.RegistryPage, error) {
 	if after == "" {
 		newRequest := func(version uint64, _ time.Duration) basillift.FeedRequest {
-			return basillift.NewFeedRequest(version, 0)
+			// A reader of an older era holds what the registry has lost.
+			return basillift.NewFeedRequest(version, 0).Since(0, r.newestKnown().EraStart())
 		}
 		if page, full := r.queryReaders(ctx, 0, newRequest); full {
 			return page, nil
@@ -97,10 +98,10 @@
 // in three cases: the reader does not hold all changes since the revision, no daemon is current any more although the
 // last answer came from a reader, or the registry takes longer than registryTimeout. A listing contains only the newest
 // table, whereas the changes may contain many versions.
-func (r *FollowerRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
-	r.completeRevision.Store(max(r.completeRevision.Load(), revision))
+func (r *FollowerRegistry) Changes(ctx context.Context, revision basillift.Revision, wait, timeout time.Duration) (basillift.RegistryPage, error) {
+	r.completeRevision.raise(revision)
 	page, full := r.queryReaders(ctx, min(wait, maxFeedWait), func(version uint64, wait time.Duration) basillift.FeedRequest {
-		return basillift.NewFeedRequest(version, wait).Since(revision, max(r.newestRevision.Load(), r.peerRevision.Load()))
+		return basillift.NewFeedRequest(version, wait).Since(revision, r.newestKnown())
 	})
 	switch {
 	case full, !page.Relayed() && ctx.Err() == nil && r.lastRelayed.Swap(false):
@@ -113,7 +114,7 @@
 	directCtx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
 	wait = min(wait, registryWait)
-	if r.peerRevision.Load() > revision {
+	if r.peerRevision.load() > revision {
 		// The registry has the change that other daemons know, so an answer that does not come at once is lost.
 		wait = 0
 	}
@@ -131,19 +132,20 @@
 	}
 	for _, e := range page.Entries() {
 		// Pages after the first may hold entries that are newer than a change which the listing missed.
-		r.raiseNewest(min(e.Revision(), page.Revision()))
+		r.newestRevision.raise(min(e.Revision(), page.Revision()))
 	}
 	return page, nil
 }
 
 // ObserveRevision records the newest revision that another daemon has seen. A reader whose entries are all older than
 // that revision is behind.
-func (r *FollowerRegistry) ObserveRevision(revision uint64) {
-	r.peerRevision.Store(max(r.peerRevision.Load(), revision))
+func (r *FollowerRegistry) ObserveRevision(revision basillift.Revision) {
+	r.peerRevision.raise(revision)
 }
 
-func (r *FollowerRegistry) raiseNewest(revision uint64) {
-	r.newestRevision.Store(max(r.newestRevision.Load(), revision))
+// newestKnown returns the newest revision of any entry that this daemon or another one has received.
+func (r *FollowerRegistry) newestKnown() basillift.Revision {
+	return max(r.newestRevision.load(), r.peerRevision.load())
 }
 
 // requestFunc builds a request from the version of the table in force, 0 for none, and the maximum wait.
@@ -270,10 +272,10 @@
 		}
 	}
 	for _, e := range entries {
-		r.raiseNewest(e.Revision())
+		r.newestRevision.raise(e.Revision())
 	}
 	// A reader that is not behind holds all changes that this daemon holds.
-	complete := max(response.Revision(), r.completeRevision.Load())
+	complete := max(response.Revision(), r.completeRevision.load())
 	result.page, result.full = basillift.NewRegistryPage(entries, complete, "").WithRelayed(), response.State() == basillift.FeedFull
 	return result
 }
--- a/basillift/blfeed/followerregistry_test.go
+++ b/basillift/blfeed/followerregistry_test.go
@@ -63,7 +63,7 @@
 	return basillift.NewRegistryPage([]basillift.RegistryEntry{entryOf("x", 90)}, 95, ""), nil
 }
 
-func (m *fakeMesh) Changes(ctx context.Context, _ uint64, wait, _ time.Duration) (basillift.RegistryPage, error) {
+func (m *fakeMesh) Changes(ctx context.Context, _ basillift.Revision, wait, _ time.Duration) (basillift.RegistryPage, error) {
 	m.registryWaits = append(m.registryWaits, wait)
 	if m.slowChanges {
 		<-ctx.Done()
@@ -82,7 +82,7 @@
 	return NewFollowerRegistry(m, m, NewReaderSelector("own"), tables, func() []basillift.Neighbor { return neighbors(2, 1) })
 }
 
-func assertListing(t *testing.T, page basillift.RegistryPage, err error, revision uint64, keys ...string) {
+func assertListing(t *testing.T, page basillift.RegistryPage, err error, revision basillift.Revision, keys ...string) {
 	t.Helper()
 	is := is.New(t)
 	is.NoErr(err)
@@ -225,7 +225,7 @@
 	t.Run("the reader's revision is older, its entries are not", func(t *testing.T) {
 		m := &fakeMesh{caches: map[string]*Cache{"d-0": newTestCache(t)}}
 		r := m.newFollower(t)
-		r.completeRevision.Store(33)
+		r.completeRevision.raise(33)
 		page, err := r.List(ctx, "")
 		assertListing(t, page, err, 33, "x", "y")
 	})
--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -36,7 +36,7 @@
 // trackedEntry is the state of the entry of one key.
 type trackedEntry struct {
 	target   *Target
-	revision uint64
+	revision basillift.Revision
 	// removedAt is when the entry was removed; zero if it was not. Removed entries are kept for removedEntryTTL,
 	// since an older entry of the same target may still arrive.
 	removedAt time.Time
@@ -61,7 +61,9 @@
 	entries     map[string]*trackedEntry
 	graceEnd    time.Time
 	recoveredAt time.Time
-	current     atomic.Pointer[snapshot]
+	// era is the era of the registry in the last complete listing.
+	era     uint64
+	current atomic.Pointer[snapshot]
 }
 
 // New returns a fleet without targets.
@@ -114,22 +116,33 @@
 	return applied
 }
 
-// Replace applies a complete listing. Entries that the listing lacks are removed; just after an outage, those of
-// targets that accept requests are kept until the end of recoveryGrace.
-func (f *Fleet) Replace(now time.Time, entries []basillift.RegistryEntry) {
+// Replace applies a complete listing at a revision. Entries that the listing lacks are removed. Just after an outage, and if the
+// registry has lost changes, those of targets that accept requests are kept until the end of recoveryGrace. It returns the
+// entries that hold now: where the listing has an entry from before one that is known, the known one.
+func (f *Fleet) Replace(now time.Time, revision basillift.Revision, entries []basillift.RegistryEntry) (current []basillift.RegistryEntry) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	possiblyLost := !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < listingTimeout
+	if revision.Era() > f.era && len(f.entries) > 0 {
+		possiblyLost, f.graceEnd = true, now.Add(recoveryGrace)
+	}
+	f.era = max(f.era, revision.Era())
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.Key()] = true
-		f.apply(now, entry)
+		if f.apply(now, entry) {
+			current = append(current, entry)
+		} else if known := f.entries[entry.Key()]; known.removedAt.IsZero() {
+			current = append(current, basillift.NewRegistryEntry(entry.Key(), max(entry.Revision(), known.revision)).WithEndpoint(known.target.endpoint))
+		}
 	}
 	for key, r := range f.entries {
 		if !listed[key] {
-			f.remove(now, key, *r, !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < listingTimeout)
+			f.remove(now, key, *r, possiblyLost)
 		}
 	}
 	f.updateSnapshot()
+	return current
 }
 
 // Tick removes targets whose entries did not reappear within recoveryGrace, and forgets entries removed long ago.
@@ -167,7 +180,7 @@
 		}
 		return true
 	}
-	if previous != nil && e.OlderThan(previous.target.endpoint) {
+	if previous != nil && (e.OlderThan(previous.target.endpoint) || previous.leftBefore(entry.Revision(), e)) {
 		return false
 	}
 	r := &trackedEntry{revision: entry.Revision(), target: &Target{endpoint: e, warmupEnd: now.Add(e.WarmupRemaining())}}
@@ -184,6 +197,12 @@
 	return true
 }
 
+// leftBefore reports whether the target of a removed entry left before the registry was restored from a copy that still has
+// the entry. A target that is there writes again, so that its entry is newer than the last known one.
+func (r *trackedEntry) leftBefore(revision basillift.Revision, e basillift.Endpoint) bool {
+	return !r.removedAt.IsZero() && revision.Era() > r.revision.Era() && !r.target.endpoint.OlderThan(e)
+}
+
 func earlierTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/basillift/blfleet/fleet_test.go
+++ b/basillift/blfleet/fleet_test.go
@@ -12,17 +12,17 @@
 var start = time.Unix(1_800_000_000, 0)
 
 // entryOf returns the entry of a target that started at the given second, with a sequence number of its writes.
-func entryOf(key string, revision uint64, address string, state basillift.TargetState, startSecond, sequence int) basillift.RegistryEntry {
+func entryOf(key string, revision basillift.Revision, address string, state basillift.TargetState, startSecond, sequence int) basillift.RegistryEntry {
 	e := basillift.NewEndpoint(key, "catalogue", address, "a", 9, state).
 		WithStart(start.Add(time.Duration(startSecond)*time.Second), 0).WithSequence(uint64(sequence))
 	return basillift.NewRegistryEntry(key, revision).WithEndpoint(e)
 }
 
-func ready(key string, revision uint64, address string) basillift.RegistryEntry {
+func ready(key string, revision basillift.Revision, address string) basillift.RegistryEntry {
 	return entryOf(key, revision, address, basillift.TargetReady, 0, int(revision))
 }
 
-func removal(key string, revision uint64) basillift.RegistryEntry {
+func removal(key string, revision basillift.Revision) basillift.RegistryEntry {
 	return basillift.NewRegistryEntry(key, revision)
 }
 
@@ -62,7 +62,7 @@
 	t.Run("a listing removes the targets that it lacks", func(t *testing.T) {
 		f := New()
 		f.Apply(start, ready("i1", 1, "x:1"))
-		f.Replace(start, []basillift.RegistryEntry{ready("i2", 2, "x:2")})
+		f.Replace(start, 2, []basillift.RegistryEntry{ready("i2", 2, "x:2")})
 		assertTargets(t, f, "i2")
 	})
 	t.Run("a change older than the known entry is ignored", func(t *testing.T) {
@@ -121,7 +121,7 @@
 	f.Apply(start, ready("i1", 1, "x:1"))
 	f.Apply(start, ready("i2", 2, "x:2"))
 	f.RegistryRecovered(start)
-	f.Replace(start, nil)
+	f.Replace(start, 8, nil)
 	assertTargets(t, f, "i1", "i2")
 	f.Apply(start.Add(time.Second), ready("i2", 9, "x:2"))
 	f.Tick(start.Add(recoveryGrace))
--- a/basillift/blforwarder/advisories_test.go
+++ b/basillift/blforwarder/advisories_test.go
@@ -117,7 +117,7 @@
 	publish := func(sequence uint64, startedAt time.Time) {
 		e := basillift.NewEndpoint("i0", "catalogue", target.listener.Addr().String(), "a", slots, basillift.TargetReady).
 			WithDaemon(m.daemonAddresses[0]).WithSequence(sequence).WithStart(startedAt, 0)
-		m.fleet.Apply(now, basillift.NewRegistryEntry("t0", sequence).WithEndpoint(e))
+		m.fleet.Apply(now, basillift.NewRegistryEntry("t0", basillift.Revision(sequence)).WithEndpoint(e))
 		f.TargetsChanged(now)
 	}
 	publish(10, now.Add(-time.Hour))
--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -37,7 +37,7 @@
 	// close is set if the connection must be closed after the answer.
 	close bool
 	// newestRevision is the newest revision of the registry that the target's daemon has observed.
-	newestRevision uint64
+	newestRevision basillift.Revision
 	// nestedCall is set by the target's daemon if it classified the request as a nested call.
 	nestedCall bool
 	// feedHeader is the value of headerFeed in the answer to a daemon that asks for a newer routing table.
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -148,8 +148,8 @@
 // fixedGossip reports the same newest revision of the registry at all daemons.
 type fixedGossip struct{}
 
-func (fixedGossip) NewestRevision() uint64 { return 1 }
-func (fixedGossip) ObserveRevision(uint64) {}
+func (fixedGossip) NewestRevision() basillift.Revision { return 1 }
+func (fixedGossip) ObserveRevision(basillift.Revision) {}
 
 // mesh is a set of forwarders in one process, each with a fake target of the service "catalogue".
 type mesh struct {
@@ -201,7 +201,7 @@
 	fw.SetRevisionGossip(fixedGossip{})
 	fw.SetFeedServer(fakeFeed{})
 	m.run(t, fw)
-	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), uint64(i)+1).WithEndpoint(m.endpointOf(i, f)))
+	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), basillift.Revision(i)+1).WithEndpoint(m.endpointOf(i, f)))
 }
 
 // run starts a daemon and stops it at the end of the test.
@@ -284,6 +284,6 @@
 	return a
 }
 
-func removalOf(key string, revision uint64) basillift.RegistryEntry {
+func removalOf(key string, revision basillift.Revision) basillift.RegistryEntry {
 	return basillift.NewRegistryEntry(key, revision)
 }
--- a/basillift/blforwarder/feed.go
+++ b/basillift/blforwarder/feed.go
@@ -51,7 +51,7 @@
 	// A stop does not wait for pending feed requests.
 	defer context.AfterFunc(f.feedContext, cancel)()
 	response := f.feedServer.ServeFeed(ctx, request)
-	value := strings.Join(append([]string{string(response.State()), strconv.FormatUint(response.Revision(), 10)}, response.Readers()...), " ")
+	value := strings.Join(append([]string{string(response.State()), formatRevision(response.Revision())}, response.Readers()...), " ")
 	return &answer{status: http.StatusOK, feedHeader: value, body: response.Body(), outcome: basillift.OutcomeDone}
 }
 
@@ -59,8 +59,8 @@
 const feedRequestFieldCount = 4
 
 func formatFeedRequest(request basillift.FeedRequest) string {
-	return strconv.FormatUint(request.Version(), 10) + " " + strconv.FormatUint(request.CompleteRevision(), 10) + " " +
-		strconv.FormatUint(request.NewestRevision(), 10) + " " + formatMicroseconds(request.Wait())
+	return strconv.FormatUint(request.Version(), 10) + " " + formatRevision(request.CompleteRevision()) + " " +
+		formatRevision(request.NewestRevision()) + " " + formatMicroseconds(request.Wait())
 }
 
 func parseFeedRequest(text string) (basillift.FeedRequest, bool) {
@@ -77,7 +77,7 @@
 		numbers[i] = n
 	}
 	wait := min(time.Duration(numbers[3])*time.Microsecond, maxFeedWait)
-	return basillift.NewFeedRequest(numbers[0], wait).Since(numbers[1], numbers[2]), true
+	return basillift.NewFeedRequest(numbers[0], wait).Since(basillift.Revision(numbers[1]), basillift.Revision(numbers[2])), true
 }
 
 // RequestFeed implements basillift.FeedClient.
@@ -143,7 +143,7 @@
 	if err != nil {
 		return basillift.FeedResponse{}, fmt.Errorf("feed header %q: %w: %w", text, errMalformedFeed, err)
 	}
-	return basillift.NewFeedResponse(basillift.FeedState(fields[0]), revision).WithBody(body).WithReaders(fields[2:]), nil
+	return basillift.NewFeedResponse(basillift.FeedState(fields[0]), basillift.Revision(revision)).WithBody(body).WithReaders(fields[2:]), nil
 }
 
 // readAll returns the whole body, reading the rest of a large one.
--- a/basillift/blforwarder/feed_test.go
+++ b/basillift/blforwarder/feed_test.go
@@ -38,7 +38,7 @@
 	return basillift.NewFeedResponse(basillift.FeedStale, 5)
 }
 
-func assertFeed(t *testing.T, r basillift.FeedResponse, err error, s basillift.FeedState, revision uint64) {
+func assertFeed(t *testing.T, r basillift.FeedResponse, err error, s basillift.FeedState, revision basillift.Revision) {
 	t.Helper()
 	is := is.New(t)
 	is.NoErr(err)
--- a/basillift/blforwarder/headers.go
+++ b/basillift/blforwarder/headers.go
@@ -38,6 +38,9 @@
 
 func formatMicroseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
 
+// formatRevision encodes a revision as one number, so that daemons that know no eras compare it in the same order.
+func formatRevision(r basillift.Revision) string { return strconv.FormatUint(uint64(r), 10) }
+
 func formatFlag(set bool) string {
 	if set {
 		return "1"
@@ -54,7 +57,7 @@
 func (rm requestMetadata) format(now time.Time) string {
 	return strings.Join([]string{
 		rm.instance, rm.route, strconv.Itoa(rm.rank), formatFlag(rm.retryable), formatMicroseconds(rm.latencyObjective),
-		formatMicroseconds(rm.softDeadline.Sub(now)), formatMicroseconds(rm.deadline.Sub(now)), strconv.FormatUint(rm.newestRevision, 10),
+		formatMicroseconds(rm.softDeadline.Sub(now)), formatMicroseconds(rm.deadline.Sub(now)), formatRevision(rm.newestRevision),
 		formatPercent(rm.servedRatio), strconv.Itoa(rm.parent.rank), formatPercent(rm.parent.servedRatio), formatPercent(rm.retryProbability),
 	}, " ") + formatAdvisory(rm.advisory)
 }
@@ -77,7 +80,7 @@
 	return requestMetadata{
 		instance: fields[0], route: fields[1], rank: int(numbers[2]), retryable: numbers[3] == 1,
 		latencyObjective: offset(numbers[4]), softDeadline: arrived.Add(offset(numbers[5])), deadline: arrived.Add(offset(numbers[6])),
-		newestRevision: uint64(numbers[7]), servedRatio: float64(numbers[8]) / 100,
+		newestRevision: basillift.Revision(numbers[7]), servedRatio: float64(numbers[8]) / 100,
 		parent:           parentRequest{rank: int(numbers[9]), servedRatio: float64(numbers[10]) / 100},
 		retryProbability: float64(numbers[11]) / 100,
 		advisory:         advisory,
@@ -89,7 +92,7 @@
 
 // formatOutcome encodes the outcome of a request for headerHop.
 func (a *answer) formatOutcome() string {
-	return string(a.outcome) + " " + string(a.reason) + " " + formatMicroseconds(a.retryAfter) + " " + strconv.FormatUint(a.newestRevision, 10) +
+	return string(a.outcome) + " " + string(a.reason) + " " + formatMicroseconds(a.retryAfter) + " " + formatRevision(a.newestRevision) +
 		" " + formatFlag(a.nestedCall)
 }
 
@@ -104,7 +107,8 @@
 		a.retryAfter = time.Duration(n) * time.Microsecond
 	}
 	// An unreadable revision becomes 0, which is older than any other.
-	a.newestRevision, _ = strconv.ParseUint(fields[3], 10, 64)
+	newest, _ := strconv.ParseUint(fields[3], 10, 64)
+	a.newestRevision = basillift.Revision(newest)
 	a.nestedCall = fields[4] == formatFlag(true)
 }
 
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -47,7 +47,8 @@
 		}
 		return 0
 	})
-	set.NewGauge("basillift_registry_revision", func() float64 { return float64(f.gossip.NewestRevision()) })
+	set.NewGauge("basillift_registry_revision", func() float64 { return float64(f.gossip.NewestRevision().Number()) })
+	set.NewGauge("basillift_registry_era", func() float64 { return float64(f.gossip.NewestRevision().Era()) })
 	set.NewGauge("basillift_machines", func() float64 { return float64(f.fleet.VMCount()) })
 	return &counters{
 		set:      set,
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -45,7 +45,7 @@
 	// advisory is what the caller's daemon knows of the target.
 	advisory basillift.Advisory
 	// newestRevision is the newest revision of the registry that the caller's daemon has observed.
-	newestRevision uint64
+	newestRevision basillift.Revision
 }
 
 // parentRequest describes the request that most likely made a nested call. The caller's daemon determines it: the
--- a/basillift/blforwarder/transferqueue_test.go
+++ b/basillift/blforwarder/transferqueue_test.go
@@ -143,7 +143,7 @@
 	for i, backlog := range []time.Duration{700 * time.Millisecond, 0} {
 		instance := fmt.Sprintf("i%d", i)
 		e := basillift.NewEndpoint(instance, "s", fmt.Sprintf("10.0.0.%d:80", i+1), "z", 9, basillift.TargetReady)
-		fleet.Apply(now, basillift.NewRegistryEntry(instance, uint64(i)+1).WithEndpoint(e))
+		fleet.Apply(now, basillift.NewRegistryEntry(instance, basillift.Revision(i)+1).WithEndpoint(e))
 		load := basillift.NewLoad(i, 0, 9, 100*time.Millisecond).WithSlowLink(backlog)
 		target := fleet.Targets("s")[i]
 		balancer.Started(now, target)
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -24,7 +24,7 @@
 func Catalogue() []Entry {
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
-		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(),
+		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(), PlatformRestored(),
 		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
 	}
 }
@@ -99,6 +99,11 @@
 	return Entry{207, zerolog.InfoLevel, "platform was listed", "none; if it recurs without a failure before it, report the lines"}
 }
 
+// PlatformRestored is logged when the platform came back from a copy, without its last changes.
+func PlatformRestored() Entry {
+	return Entry{208, zerolog.WarnLevel, "platform was restored from a copy", "publish the last version again; see docs/OPERATIONS.md"}
+}
+
 // MemberDied is logged when a member is declared dead.
 func MemberDied() Entry { return Entry{300, zerolog.InfoLevel, "member died", "none"} }
 
--- a/basillift/blwatch/doc.go
+++ b/basillift/blwatch/doc.go
@@ -1,6 +1,6 @@
 // Package blwatch keeps a daemon current with the registry: it lists all entries
 // once, then waits for changes, and lists again when the registry has compacted the
-// changes in between.
+// changes in between, or was restored from a copy that lacks some of them.
 //
 // A WatchState, which does no I/O, decides which request to send next. A Watcher sends the
 // requests and passes the results to a Handler. Answers that are older than the data already
--- a/basillift/blwatch/state.go
+++ b/basillift/blwatch/state.go
@@ -60,7 +60,7 @@
 	kind     OperationKind
 	pause    time.Duration
 	after    string
-	revision uint64
+	revision basillift.Revision
 	wait     time.Duration
 	timeout  time.Duration
 }
@@ -75,7 +75,7 @@
 func (o Operation) After() string { return o.after }
 
 // Revision is the revision after which changes are requested.
-func (o Operation) Revision() uint64 { return o.revision }
+func (o Operation) Revision() basillift.Revision { return o.revision }
 
 // Wait is how long the registry may delay its answer.
 func (o Operation) Wait() time.Duration { return o.wait }
@@ -88,18 +88,19 @@
 	rnd               *rand.Rand
 	listed            bool
 	after             string
-	revision          uint64
+	revision          basillift.Revision
 	entries           []basillift.RegistryEntry
-	firstPageRevision uint64
+	firstPageRevision basillift.Revision
 	failures          int
 	lastAnswer        time.Time
 	lastChange        time.Time
 	changePause       time.Duration
 	down              bool
 	hasFollowers      bool
-	newestRevision    uint64
-	peerRevision      uint64
-	peerRevisionAt    time.Time
+	newestRevision    basillift.Revision
+	peerRevision      basillift.Revision
+	// peerRevisionDue is when the pending wait is overdue unless this daemon has reached peerRevision.
+	peerRevisionDue time.Time
 	// partitioned is set if other daemons receive changes while this daemon gets no answer.
 	partitioned bool
 }
@@ -156,6 +157,10 @@
 	}
 	if s.after == "" {
 		s.firstPageRevision = page.Revision()
+	} else if page.Revision().Era() != s.firstPageRevision.Era() {
+		// Pages of two eras don't belong together.
+		s.restartListing()
+		return nil, false, recovered
 	}
 	s.entries = append(s.entries, page.Entries()...)
 	s.observe(page.Entries())
@@ -168,10 +173,19 @@
 	return all, true, recovered
 }
 
-// Changed processes an answer to a request for changes, which may be empty. recovered reports whether the registry
-// was down before.
-func (s *WatchState) Changed(now time.Time, page basillift.RegistryPage) (recovered bool) {
+// Changed processes an answer to a request for changes, which may be empty, and returns the changes to apply. An answer of
+// another era holds none: in a newer era the registry has lost changes that this daemon knows, so everything is listed again; an
+// answer of an older era is late. recovered reports whether the registry was down before.
+func (s *WatchState) Changed(now time.Time, page basillift.RegistryPage) (changes []basillift.RegistryEntry, recovered bool) {
 	recovered = s.recordAnswer(now)
+	switch era := page.Revision().Era(); {
+	case era > s.revision.Era():
+		s.restartListing()
+		return nil, recovered
+	case era < s.revision.Era():
+		s.failures = 1
+		return nil, recovered
+	}
 	s.revision = max(s.revision, page.Revision())
 	s.observe(page.Entries())
 	if len(page.Entries()) > 0 {
@@ -181,7 +195,7 @@
 			s.changePause = relayedChangePause
 		}
 	}
-	return recovered
+	return page.Entries(), recovered
 }
 
 // Failed processes a failed request and reports whether the registry counts as down from now on: after two failures in
@@ -200,25 +214,30 @@
 }
 
 // NewestRevision is the newest revision of any entry received so far.
-func (s *WatchState) NewestRevision() uint64 { return s.newestRevision }
+func (s *WatchState) NewestRevision() basillift.Revision { return s.newestRevision }
 
 // ObserveRevision records the newest revision that another daemon has seen. If that daemon is ahead, behind is set,
 // and the pending wait has to be checked with Overdue at the time due, since its answer may be lost.
-func (s *WatchState) ObserveRevision(now time.Time, revision uint64) (due time.Time, behind bool) {
+//
+// A daemon that is in a newer era has listed the registry, which no longer has the changes that this daemon waits for.
+func (s *WatchState) ObserveRevision(now time.Time, revision basillift.Revision) (due time.Time, behind bool) {
 	if revision <= s.newestRevision || revision <= s.peerRevision {
 		return time.Time{}, false
 	}
-	s.peerRevision, s.peerRevisionAt = revision, now
+	s.peerRevision, s.peerRevisionDue = revision, now.Add(peerLeadTimeout)
+	if s.newestRevision > 0 && revision.Era() > s.newestRevision.Era() {
+		s.peerRevisionDue = now
+	}
 	s.partitioned = s.partitioned || s.down
-	return now.Add(peerLeadTimeout), true
+	return s.peerRevisionDue, true
 }
 
 // Partitioned reports whether the last outage affected this daemon only: other daemons received changes meanwhile.
 func (s *WatchState) Partitioned() bool { return s.partitioned }
 
-// Overdue reports whether another daemon has been ahead for longer than peerLeadTimeout.
+// Overdue reports whether another daemon has been ahead for too long.
 func (s *WatchState) Overdue(now time.Time) bool {
-	return s.peerRevision > s.newestRevision && !now.Before(s.peerRevisionAt.Add(peerLeadTimeout))
+	return s.peerRevision > s.newestRevision && !now.Before(s.peerRevisionDue)
 }
 
 // WaitCanceled records that the pending wait was canceled because its answer seems to be lost.
--- a/basillift/blwatch/state_test.go
+++ b/basillift/blwatch/state_test.go
@@ -23,7 +23,7 @@
 	return all
 }
 
-func assertOperation(t *testing.T, o Operation, kind OperationKind, after string, revision uint64) {
+func assertOperation(t *testing.T, o Operation, kind OperationKind, after string, revision basillift.Revision) {
 	t.Helper()
 	if o.Kind() != kind || o.After() != after || o.Revision() != revision {
 		t.Errorf("operation %s after %q from %d, want %s after %q from %d", o.Kind(), o.After(), o.Revision(), kind, after, revision)
@@ -66,7 +66,7 @@
 	is.True(!complete)
 	is.True(s.Next(start).Pause() > 0)
 	s.Changed(start, basillift.NewRegistryPage(nil, 3, ""))
-	is.Equal(s.revision, uint64(9))
+	is.Equal(s.revision, basillift.Revision(9))
 }
 
 // Guards against many daemons that overload a failing registry with requests, and against a daemon that stops
@@ -83,7 +83,8 @@
 		last = pause
 	}
 	is.True(last >= maxBackoff/2)
-	is.True(s.Changed(start, basillift.NewRegistryPage(nil, 8, "")))
+	_, recovered := s.Changed(start, basillift.NewRegistryPage(nil, 8, ""))
+	is.True(recovered)
 	is.Equal(s.Next(start).Pause(), time.Duration(0))
 }
 
@@ -117,7 +118,8 @@
 		s.Failed(start, basillift.ErrUnavailable)
 		s.Failed(start, basillift.ErrUnavailable)
 		observe(s)
-		is.New(t).True(s.Changed(start, basillift.NewRegistryPage(nil, 9, "")))
+		_, recovered := s.Changed(start, basillift.NewRegistryPage(nil, 9, ""))
+		is.New(t).True(recovered)
 		return s.Partitioned()
 	}
 	t.Run("other daemons are ahead during the outage", func(t *testing.T) {
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -20,7 +20,7 @@
 // Handler receives the content of the registry and its changes.
 type Handler interface {
 	// Replace receives everything that the registry held at a revision.
-	Replace(now time.Time, revision uint64, all []basillift.RegistryEntry)
+	Replace(now time.Time, revision basillift.Revision, all []basillift.RegistryEntry)
 	// Apply receives one change.
 	Apply(now time.Time, e basillift.RegistryEntry)
 	// WaitFailed reports that a request to the registry ended without an answer while the registry counted as reachable.
@@ -101,7 +101,7 @@
 }
 
 // NewestRevision implements basillift.RevisionGossip.
-func (w *Watcher) NewestRevision() uint64 {
+func (w *Watcher) NewestRevision() basillift.Revision {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	return w.state.NewestRevision()
@@ -115,7 +115,7 @@
 }
 
 // ObserveRevision implements basillift.RevisionGossip.
-func (w *Watcher) ObserveRevision(revision uint64) {
+func (w *Watcher) ObserveRevision(revision basillift.Revision) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	now := time.Now()
@@ -143,10 +143,11 @@
 	}
 	now := time.Now()
 	w.mutex.Lock()
-	recovered, partitioned := w.state.Changed(now, page), w.state.Partitioned()
+	changes, recovered := w.state.Changed(now, page)
+	partitioned := w.state.Partitioned()
 	w.mutex.Unlock()
 	w.reportRecovery(now, recovered, partitioned)
-	for _, e := range page.Entries() {
+	for _, e := range changes {
 		w.handler.Apply(now, e)
 	}
 	return nil
--- a/basillift/blwatch/watcher_test.go
+++ b/basillift/blwatch/watcher_test.go
@@ -19,7 +19,7 @@
 // request on the same connection if none is pending. Requests during an outage are not answered either.
 type silentRegistry struct {
 	mutex      sync.Mutex
-	revision   uint64
+	revision   basillift.Revision
 	outage     bool
 	connSilent bool
 	changed    chan struct{}
@@ -38,7 +38,7 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *silentRegistry) newest() uint64 {
+func (r *silentRegistry) newest() basillift.Revision {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.revision
@@ -63,7 +63,7 @@
 }
 
 // Changes implements basillift.Registry.
-func (r *silentRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
+func (r *silentRegistry) Changes(ctx context.Context, revision basillift.Revision, wait, timeout time.Duration) (basillift.RegistryPage, error) {
 	r.mutex.Lock()
 	newest, changed, silent, unanswered := r.revision, r.changed, r.silent, r.outage || r.connSilent
 	r.mutex.Unlock()
@@ -105,11 +105,11 @@
 // recorder records when a revision was applied, and failed waits.
 type recorder struct {
 	mutex     sync.Mutex
-	appliedAt map[uint64]time.Time
+	appliedAt map[basillift.Revision]time.Time
 	failed    int
 }
 
-func (h *recorder) Replace(time.Time, uint64, []basillift.RegistryEntry) {}
+func (h *recorder) Replace(time.Time, basillift.Revision, []basillift.RegistryEntry) {}
 
 func (h *recorder) Apply(now time.Time, e basillift.RegistryEntry) {
 	h.mutex.Lock()
@@ -124,7 +124,7 @@
 }
 
 // appliedAfter returns how long after a moment the handler got a revision.
-func (h *recorder) appliedAfter(moment time.Time, revision uint64) time.Duration {
+func (h *recorder) appliedAfter(moment time.Time, revision basillift.Revision) time.Duration {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.appliedAt[revision].Sub(moment)
@@ -146,7 +146,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[uint64]time.Time)}
+		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[basillift.Revision]time.Time)}
 		w := New(registry, handler, rand.New(rand.NewSource(1)))
 		w.SetHasFollowers(func(time.Time) bool { return hasFollowers })
 		ended := make(chan error, 1)
@@ -195,7 +195,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[uint64]time.Time)}
+		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[basillift.Revision]time.Time)}
 		w := New(registry, handler, rand.New(rand.NewSource(1)))
 		ended := make(chan error, 1)
 		go func() { ended <- w.Run(ctx) }()
@@ -231,7 +231,7 @@
 type slowRegistry struct{ *silentRegistry }
 
 // Changes implements basillift.Registry.
-func (r slowRegistry) Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (basillift.RegistryPage, error) {
+func (r slowRegistry) Changes(ctx context.Context, revision basillift.Revision, wait, timeout time.Duration) (basillift.RegistryPage, error) {
 	page, err := r.silentRegistry.Changes(ctx, revision, wait, timeout)
 	if err != nil || len(page.Entries()) == 0 {
 		return page, err
@@ -250,7 +250,7 @@
 func TestArrivingAnswerIsNotCanceled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[uint64]time.Time)}
+		registry, handler := newSilentRegistry(), &recorder{appliedAt: make(map[basillift.Revision]time.Time)}
 		w := New(slowRegistry{registry}, handler, rand.New(rand.NewSource(1)))
 		ended := make(chan error, 1)
 		go func() { ended <- w.Run(ctx) }()
--- a/basillift/feed.go
+++ b/basillift/feed.go
@@ -8,8 +8,8 @@
 // FeedRequest asks another daemon for changes in the registry.
 type FeedRequest struct {
 	version          uint64
-	completeRevision uint64
-	newestRevision   uint64
+	completeRevision Revision
+	newestRevision   Revision
 	wait             time.Duration
 }
 
@@ -21,7 +21,7 @@
 
 // Since returns a copy that asks for changes only. All changes up to completeRevision are known to the sender, and
 // newestRevision is the newest revision of any of its entries.
-func (r FeedRequest) Since(completeRevision, newestRevision uint64) FeedRequest {
+func (r FeedRequest) Since(completeRevision, newestRevision Revision) FeedRequest {
 	r.completeRevision, r.newestRevision = completeRevision, newestRevision
 	return r
 }
@@ -30,10 +30,10 @@
 func (r FeedRequest) Version() uint64 { return r.version }
 
 // CompleteRevision is the revision up to which the sender knows all changes; 0 if it asks for all entries.
-func (r FeedRequest) CompleteRevision() uint64 { return r.completeRevision }
+func (r FeedRequest) CompleteRevision() Revision { return r.completeRevision }
 
 // NewestRevision is the newest revision of any of the sender's entries.
-func (r FeedRequest) NewestRevision() uint64 { return r.newestRevision }
+func (r FeedRequest) NewestRevision() Revision { return r.newestRevision }
 
 // Wait is how long the other daemon may wait for changes.
 func (r FeedRequest) Wait() time.Duration { return r.wait }
@@ -58,13 +58,13 @@
 // FeedResponse is the response to a FeedRequest.
 type FeedResponse struct {
 	state    FeedState
-	revision uint64
+	revision Revision
 	body     []byte
 	readers  []string
 }
 
 // NewFeedResponse returns a response without entries. The daemon knows all changes up to the revision.
-func NewFeedResponse(s FeedState, revision uint64) FeedResponse {
+func NewFeedResponse(s FeedState, revision Revision) FeedResponse {
 	return FeedResponse{state: s, revision: revision}
 }
 
@@ -84,7 +84,7 @@
 func (r FeedResponse) State() FeedState { return r.state }
 
 // Revision is the registry's revision up to which the other daemon knows all changes.
-func (r FeedResponse) Revision() uint64 { return r.revision }
+func (r FeedResponse) Revision() Revision { return r.revision }
 
 // Body is the encoded entries as JSON; package blfeed has the format.
 func (r FeedResponse) Body() []byte { return r.body }
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -7,7 +7,7 @@
 
 // RegistryEntry is the content of one key of the registry: a routing table or a target's entry.
 type RegistryEntry struct {
-	revision    uint64
+	revision    Revision
 	key         string
 	routingSpec *RoutingSpec
 	endpoint    *Endpoint
@@ -17,7 +17,7 @@
 // NewRegistryEntry returns the entry of a key, last changed at the revision. An entry whose content cannot be used
 // has neither a routing table nor an endpoint; WithInvalid adds the reason. The entry of a
 // deleted key has none of these.
-func NewRegistryEntry(key string, revision uint64) RegistryEntry {
+func NewRegistryEntry(key string, revision Revision) RegistryEntry {
 	return RegistryEntry{key: key, revision: revision}
 }
 
@@ -43,7 +43,7 @@
 func (e RegistryEntry) Key() string { return e.key }
 
 // Revision is the registry's revision that last changed the entry.
-func (e RegistryEntry) Revision() uint64 { return e.revision }
+func (e RegistryEntry) Revision() Revision { return e.revision }
 
 // RoutingSpec returns the routing table, if the key holds one.
 func (e RegistryEntry) RoutingSpec() (RoutingSpec, bool) {
@@ -67,7 +67,7 @@
 // RegistryPage is an answer of the registry, or of a daemon that relays it: one page of a listing, or changes.
 type RegistryPage struct {
 	entries      []RegistryEntry
-	revision     uint64
+	revision     Revision
 	next         string
 	transferTime time.Duration
 	relayed      bool
@@ -75,7 +75,7 @@
 
 // NewRegistryPage returns an answer that is current as of a revision. next is the key
 // after which a further page begins, or empty.
-func NewRegistryPage(entries []RegistryEntry, revision uint64, next string) RegistryPage {
+func NewRegistryPage(entries []RegistryEntry, revision Revision, next string) RegistryPage {
 	return RegistryPage{entries: entries, revision: revision, next: next}
 }
 
@@ -101,7 +101,7 @@
 func (p RegistryPage) Entries() []RegistryEntry { return p.entries }
 
 // Revision is the registry's revision as of which the answer is current.
-func (p RegistryPage) Revision() uint64 { return p.revision }
+func (p RegistryPage) Revision() Revision { return p.revision }
 
 // Next is the key after which the next page begins; empty on the last one.
 func (p RegistryPage) Next() string { return p.next }
@@ -113,16 +113,18 @@
 	// List returns one page of all entries after the given key.
 	List(ctx context.Context, after string) (RegistryPage, error)
 	// Changes returns the changes after the revision. The registry waits until there is one, at most for the given time.
+	// If the registry is in another era, its answer says so by the revision of the page, and the changes are not those after
+	// the given revision.
 	// If its answer has not begun by timeout after that, it counts as lost, and the error wraps ErrUnavailable. The
 	// implementation calls bltrace.AnswerBegun when changes begin to arrive.
-	Changes(ctx context.Context, revision uint64, wait, timeout time.Duration) (RegistryPage, error)
+	Changes(ctx context.Context, revision Revision, wait, timeout time.Duration) (RegistryPage, error)
 }
 
 // RevisionGossip exchanges the newest known revision of the registry between daemons, so
 // that a daemon that missed an answer of the registry detects that it is behind.
 type RevisionGossip interface {
 	// NewestRevision is the newest revision of an entry that this daemon has seen.
-	NewestRevision() uint64
+	NewestRevision() Revision
 	// ObserveRevision records the newest revision that another daemon has seen.
-	ObserveRevision(revision uint64)
+	ObserveRevision(revision Revision)
 }
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -53,6 +53,8 @@
 	fleet        *blfleet.Fleet
 	forwarder    *blforwarder.Forwarder
 	watcher      *blwatch.Watcher
+	// revision is that of the last complete listing. Only the watcher's goroutine uses it.
+	revision basillift.Revision
 	// cache is nil for a follower.
 	cache *blfeed.Cache
 	admin *bladmin.Server
@@ -153,7 +155,7 @@
 }
 
 // ObserveRevision implements basillift.RevisionGossip.
-func (f revisionFanOut) ObserveRevision(revision uint64) {
+func (f revisionFanOut) ObserveRevision(revision basillift.Revision) {
 	f.registry.ObserveRevision(revision)
 	f.Watcher.ObserveRevision(revision)
 }
@@ -260,7 +262,7 @@
 }
 
 // Replace implements blwatch.Handler.
-func (d *tableDaemon) Replace(now time.Time, revision uint64, all []basillift.RegistryEntry) {
+func (d *tableDaemon) Replace(now time.Time, revision basillift.Revision, all []basillift.RegistryEntry) {
 	var tables, endpoints []basillift.RegistryEntry
 	for _, entry := range all {
 		if _, ok := entry.RoutingSpec(); ok {
@@ -269,14 +271,18 @@
 			endpoints = append(endpoints, entry)
 		}
 	}
-	d.log.Event(bllog.PlatformListed()).Uint64("revision", revision).Int("tables", len(tables)).Int("targets", len(endpoints)).Send()
+	d.log.Event(bllog.PlatformListed()).Uint64("era", revision.Era()).Uint64("revision", revision.Number()).Int("tables", len(tables)).Int("targets", len(endpoints)).Send()
+	if known := d.revision; known > 0 && revision.Era() > known.Era() {
+		d.log.Event(bllog.PlatformRestored()).Stringer("known", known).Stringer("revision", revision).Send()
+	}
+	d.revision = revision
 	// The targets come before the tables: the first table releases the waiting requests, which need targets.
-	d.fleet.Replace(now, endpoints)
+	current := d.fleet.Replace(now, revision, endpoints)
 	for _, entry := range tables {
 		d.adopt(entry)
 	}
 	if d.cache != nil {
-		d.cache.Replace(now, revision, endpoints)
+		d.cache.Replace(now, revision, current)
 	}
 	d.forwarder.TargetsChanged(now)
 }
@@ -295,7 +301,7 @@
 
 // logTarget logs a change of a target's entry and whether it was applied.
 func (d *tableDaemon) logTarget(entry basillift.RegistryEntry, applied bool) {
-	line := d.log.Event(bllog.TargetChanged()).Str("key", entry.Key()).Uint64("revision", entry.Revision()).Bool("taken", applied)
+	line := d.log.Event(bllog.TargetChanged()).Str("key", entry.Key()).Stringer("revision", entry.Revision()).Bool("taken", applied)
 	if e, ok := entry.Endpoint(); ok {
 		line = line.Str("service", e.Service()).Str("address", e.Address()).Str("state", string(e.State())).
 			Uint64("sequence", e.Sequence()).Time("born", e.StartedAt())
@@ -321,6 +327,8 @@
 			d.cache.Adopt(entry, d.tables.Current())
 		}
 		d.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).Send()
+	case d.cache != nil:
+		d.cache.Observe(entry)
 	}
 	return true
 }
