--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -40,7 +40,7 @@
 		}
 		return 0
 	})
-	set.NewGauge("basillift_requests_quarantined", func() float64 { return float64(f.quarantine.quarantined(time.Now())) })
+	set.NewGauge("basillift_requests_quarantined", func() float64 { return float64(len(f.quarantine.quarantines(time.Now()))) })
 	set.NewGauge("basillift_table_version", func() float64 {
 		if t := f.tables.Current(); t != nil {
 			return float64(t.Version())
--- a/basillift/blforwarder/quarantine.go
+++ b/basillift/blforwarder/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,20 +173,12 @@
 	return q.suspicions.Merge(now, remote)
 }
 
-// snapshot returns all suspicions, ordered by fingerprint.
-func (q *quarantine) snapshot(now time.Time) []blquarantine.Suspicion {
+// quarantines returns the suspicions that suffice for a quarantine, ordered by fingerprint.
+func (q *quarantine) quarantines(now time.Time) []blquarantine.Suspicion {
+	if !q.active.Load() {
+		return nil
+	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.suspicions.Snapshot(now)
-}
-
-// quarantined returns how many requests are quarantined.
-func (q *quarantine) quarantined(now time.Time) int {
-	count := 0
-	for _, s := range q.snapshot(now) {
-		if s.Quarantined() {
-			count++
-		}
-	}
-	return count
+	return slices.DeleteFunc(q.suspicions.Snapshot(now), func(s blquarantine.Suspicion) bool { return !s.Quarantined() })
 }
--- a/basillift/blforwarder/suspicions.go
+++ b/basillift/blforwarder/suspicions.go
@@ -24,7 +24,7 @@
 const (
 	// headerSuspicion carries the suspicion against a request to the target's daemon, and back in the answer.
 	headerSuspicion = "Basillift-Suspicion"
-	// headerSuspicions marks a message about suspicions against any requests. Its value is the digest of all suspicions that
+	// headerSuspicions marks a message about suspicions against any requests. Its value is the digest of all quarantines that
 	// the sender knows.
 	headerSuspicions = "Basillift-Suspicions"
 )
@@ -42,6 +42,8 @@
 	resyncPeers = 2
 	// maxSuspicionAge is the highest age that is accepted. Suspicions expire sooner.
 	maxSuspicionAge = time.Hour
+	// maxDeliveries is how many daemons suspicions are sent to at the same time.
+	maxDeliveries = 128
 	// maxSuspicionsSent bounds the suspicions of one message.
 	maxSuspicionsSent = 256
 )
@@ -132,7 +134,7 @@
 	return strconv.FormatUint(d.Sum64(), 16)
 }
 
-// answerSuspicions answers a message of another daemon. The answer holds all suspicions known here if the digests differ.
+// answerSuspicions answers a message of another daemon. The answer holds all quarantines known here if the digests differ.
 func (t *targetSide) answerSuspicions(now time.Time, r *request, digest string) *answer {
 	f := t.forwarder
 	remote, err := parseSuspicions(now, r.body)
@@ -141,7 +143,7 @@
 	}
 	f.adoptSuspicions(now, remote...)
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
-	all := f.quarantine.snapshot(now)
+	all := f.quarantine.quarantines(now)
 	if digestOf(all) == digest {
 		return a
 	}
@@ -174,7 +176,7 @@
 }
 
 // suspicionAnnouncer spreads suspicions: each change goes to all daemons at once, again and again to those that cannot be
-// reached. Besides, each daemon that knows suspicions compares them with those of random others, so that a daemon learns what
+// reached. Besides, each daemon that knows quarantines compares them with those of random others, so that a daemon learns what
 // it missed from any daemon.
 type suspicionAnnouncer struct {
 	forwarder *Forwarder
@@ -267,7 +269,7 @@
 	s.mutex.Lock()
 	asks := now.Before(s.resyncUntil)
 	s.mutex.Unlock()
-	if !asks && len(s.forwarder.quarantine.snapshot(now)) == 0 {
+	if !asks && len(s.forwarder.quarantine.quarantines(now)) == 0 {
 		return nil
 	}
 	addresses := s.neighbors()
@@ -275,33 +277,46 @@
 	return addresses[:min(len(addresses), resyncPeers)]
 }
 
-// deliver sends suspicions to daemons and compares all suspicions with others, at the same time. It returns when all
-// deliveries have ended.
+// deliver sends suspicions to daemons and compares quarantines with others, up to maxDeliveries at the same time. It returns
+// when all deliveries have ended.
 func (s *suspicionAnnouncer) deliver(ctx context.Context, undelivered map[string][]blquarantine.Suspicion, resyncTargets []string) {
 	var deliveries sync.WaitGroup
-	for address, changed := range undelivered {
+	running := make(chan struct{}, maxDeliveries)
+	start := func(delivery func()) {
+		running <- struct{}{}
 		deliveries.Go(func() {
-			if err := s.send(ctx, address, changed); err != nil {
-				s.mutex.Lock()
-				defer s.mutex.Unlock()
-				s.undelivered[address] = append(changed, s.undelivered[address]...)
-			}
+			delivery()
+			<-running
 		})
 	}
 	for _, address := range resyncTargets {
-		deliveries.Go(func() {
-			// The next resync compares with other daemons.
-			_ = s.send(ctx, address, nil)
+		// After a failure the next resync compares with other daemons.
+		start(func() { _ = s.send(ctx, address, nil) })
+	}
+	for address, changed := range undelivered {
+		start(func() {
+			if err := s.send(ctx, address, changed); err != nil {
+				s.returnUndelivered(address, changed)
+			}
 		})
 	}
 	deliveries.Wait()
 }
 
-// send sends suspicions to a daemon and adopts those of its answer. If the daemon lacks others that are known here, they are
-// sent soon.
+// returnUndelivered keeps suspicions for the next delivery to a daemon.
+func (s *suspicionAnnouncer) returnUndelivered(address string, changed []blquarantine.Suspicion) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	newer := s.undelivered[address]
+	s.undelivered[address] = nil
+	s.keepUndelivered(address, append(slices.Clone(changed), newer...))
+}
+
+// send sends suspicions to a daemon and adopts those of its answer. If the daemon lacks quarantines that are known here, they
+// are sent soon.
 func (s *suspicionAnnouncer) send(ctx context.Context, address string, changed []blquarantine.Suspicion) error {
 	now := time.Now()
-	known := s.forwarder.quarantine.snapshot(now)
+	known := s.forwarder.quarantine.quarantines(now)
 	body, err := formatSuspicions(now, changed)
 	if err != nil {
 		return err
@@ -332,7 +347,7 @@
 	return nil
 }
 
-// keepMissing keeps for a daemon the suspicions that it lacks.
+// keepMissing keeps for a daemon the quarantines that it lacks.
 func (s *suspicionAnnouncer) keepMissing(address string, known, remote []blquarantine.Suspicion) {
 	crashes := make(map[blquarantine.Fingerprint]int, len(remote))
 	for _, each := range remote {
