blmember: a simulated probe of a member that is killed on the way times out

The simulation scheduled a probe at its receiver; when that was killed before the probe arrived, neither an answer nor a failure came, so that the prober waited for good. In blnode each probe ends with one of both, by its time-out of the call (probeTask.run), so the model was wrong and the test with it. Change: a probe that is not answered fails after a second, as one that doesn't reach its receiver. No check of the test changed; a probe can no longer hide a death, so the test sees at least what it saw before.

--- a/basillift/blmember/simulation_test.go
+++ b/basillift/blmember/simulation_test.go
@@ -189,11 +189,20 @@
 		sm.schedule(time.Second, from, failed)
 		return
 	}
+	answered := false
 	sm.schedule(sm.latency(), to, func(x *State) []Action {
+		answered = true
 		digests := x.Digests()
 		sm.schedule(sm.latency(), from, func(y *State) []Action { return y.Apply(sm.now, ProbeAnswered(to, digests)) })
 		return x.Apply(sm.now, Contacted(from))
 	})
+	// A peer that is killed before the probe arrives doesn't answer, and the probe times out.
+	sm.schedule(time.Second, from, func(x *State) []Action {
+		if answered {
+			return nil
+		}
+		return failed(x)
+	})
 }
 
 func (sm *simulation) indirect(from, via, to basillift.VMID) {
