--- a/basillift/blforwarder/crash_test.go
+++ b/basillift/blforwarder/crash_test.go
@@ -37,7 +37,7 @@
 // release is closed, and answers all other requests.
 func startCrashableTarget(t *testing.T, crashes func(r *http.Request, body []byte) bool) *crashableTarget {
 	t.Helper()
-	c := &crashableTarget{conns: map[net.Conn]struct{}{}, started: make(chan string, 1000), release: make(chan struct{})}
+	c := &crashableTarget{conns: map[net.Conn]struct{}{}, started: make(chan string, 10000), release: make(chan struct{})}
 	c.fakeTarget = startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
 		c.started <- r.URL.Path
 		if crashes(r, body) {
