--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -273,7 +273,7 @@
 	}
 	d.log.Event(bllog.PlatformListed()).Uint64("era", revision.Era()).Uint64("revision", revision.Number()).Int("tables", len(tables)).Int("targets", len(endpoints)).Send()
 	if known := d.revision; known > 0 && revision.Era() > known.Era() {
-		d.log.Event(bllog.PlatformRestored()).Stringer("known", known).Stringer("revision", revision).Send()
+		d.log.Event(bllog.PlatformRestored()).Stringer("before", known).Stringer("after", revision).Send()
 	}
 	d.revision = revision
 	// The targets come before the tables: the first table releases the waiting requests, which need targets.
@@ -301,7 +301,7 @@
 
 // logTarget logs a change of a target's entry and whether it was applied.
 func (d *tableDaemon) logTarget(entry basillift.RegistryEntry, applied bool) {
-	line := d.log.Event(bllog.TargetChanged()).Str("key", entry.Key()).Stringer("revision", entry.Revision()).Bool("taken", applied)
+	line := d.log.Event(bllog.TargetChanged()).Str("key", entry.Key()).Uint64("era", entry.Revision().Era()).Uint64("revision", entry.Revision().Number()).Bool("taken", applied)
 	if e, ok := entry.Endpoint(); ok {
 		line = line.Str("service", e.Service()).Str("address", e.Address()).Str("state", string(e.State())).
 			Uint64("sequence", e.Sequence()).Time("born", e.StartedAt())
