blquarantine: a fingerprint formats itself; no fingerprint is prepared without a suspicion

Cause: read once more. blforwarder formatted fingerprints with a copy of what blproxy has, and the target's daemon prepared the fingerprint of each request for a header that nearly none carries. Change: Fingerprint.String, used by both; the header is looked at first. No behaviour changes: the texts on the wire and in logs are the same.

--- a/basillift/blforwarder/suspicions.go
+++ b/basillift/blforwarder/suspicions.go
@@ -75,7 +75,7 @@
 	var m suspicionMessage
 	for _, s := range all[:min(len(all), maxSuspicionsSent)] {
 		m.Suspicions = append(m.Suspicions, suspicionRecord{
-			Fingerprint: formatFingerprint(s.Fingerprint()), Crashes: s.Crashes(), AgeMillis: now.Sub(s.ChangedAt()).Milliseconds(),
+			Fingerprint: s.Fingerprint().String(), Crashes: s.Crashes(), AgeMillis: now.Sub(s.ChangedAt()).Milliseconds(),
 		})
 	}
 	body, err := json.Marshal(m)
@@ -106,15 +106,13 @@
 	return all, nil
 }
 
-func formatFingerprint(fp blquarantine.Fingerprint) string { return strconv.FormatUint(uint64(fp), 16) }
-
 // digestOf returns a hash of suspicions that are ordered by fingerprint. Their times are not part of it, since they differ
 // between daemons.
 func digestOf(all []blquarantine.Suspicion) string {
 	var d xxhash.Digest
 	d.Reset()
 	for _, s := range all {
-		_, _ = d.WriteString(formatFingerprint(s.Fingerprint()) + " " + strconv.Itoa(s.Crashes()) + "\n")
+		_, _ = d.WriteString(s.Fingerprint().String() + " " + strconv.Itoa(s.Crashes()) + "\n")
 	}
 	return strconv.FormatUint(d.Sum64(), 16)
 }
@@ -155,7 +153,7 @@
 func (f *Forwarder) logQuarantined(changed []blquarantine.Suspicion) {
 	for _, s := range changed {
 		if s.Quarantined() && f.log != nil {
-			f.log.Event(bllog.RequestQuarantined()).Str("fingerprint", formatFingerprint(s.Fingerprint())).Int("crashes", s.Crashes()).Send()
+			f.log.Event(bllog.RequestQuarantined()).Str("fingerprint", s.Fingerprint().String()).Int("crashes", s.Crashes()).Send()
 		}
 	}
 }
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -84,8 +84,10 @@
 		return rejectedAnswer(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
 	t.forwarder.gossip.ObserveRevision(meta.newestRevision)
-	if s, ok := parseSuspicion(r.arrived, r.header(headerSuspicion), fingerprintOf(r)); ok {
-		t.forwarder.adoptSuspicions(r.arrived, s)
+	if text := r.header(headerSuspicion); text != "" {
+		if s, ok := parseSuspicion(r.arrived, text, fingerprintOf(r)); ok {
+			t.forwarder.adoptSuspicions(r.arrived, s)
+		}
 	}
 	if r.header(headerPermit) != "" {
 		a := t.serveReservation(ctx, r, meta)
--- a/basillift/blproxy/quarantine.go
+++ b/basillift/blproxy/quarantine.go
@@ -190,13 +190,11 @@
 		decision, _ := p.quarantine.check(now, s.Fingerprint())
 		if decision == blquarantine.DecisionQuarantine && p.records(RecordRefused) {
 			e := basillift.NewEvent(now, basillift.EventQuarantined)
-			p.recorder.Record(e.WithDetail("fingerprint " + hex(s.Fingerprint())))
+			p.recorder.Record(e.WithDetail("fingerprint " + s.Fingerprint().String()))
 		}
 	}
 }
 
-func hex(fp blquarantine.Fingerprint) string { return strconv.FormatUint(uint64(fp), 16) }
-
 // broadcastSuspicions notifies all living members directly. Crashes are rare, so the cost of one
 // message to each member is acceptable.
 func (p *Proxy) broadcastSuspicions(changed []blquarantine.Suspicion) {
@@ -206,7 +204,7 @@
 	var m SuspicionMessage
 	for _, s := range changed {
 		m.Suspicions = append(m.Suspicions, SuspicionEntry{
-			Fingerprint: hex(s.Fingerprint()), Crashes: s.Crashes(), Last: s.ChangedAt().UnixMilli(),
+			Fingerprint: s.Fingerprint().String(), Crashes: s.Crashes(), Last: s.ChangedAt().UnixMilli(),
 		})
 	}
 	self := p.directory.Self().ID()
--- a/basillift/blquarantine/suspiciontable.go
+++ b/basillift/blquarantine/suspiciontable.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,9 @@
 // Fingerprint is a hash that is the same for requests that a target cannot tell apart.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // NewFingerprint returns the fingerprint of a request. service may be the host, where
 // hosts select the service. It covers only the first 512 KB of the body.
 func NewFingerprint(customer, service, method, path string, body []byte) Fingerprint {
