--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -149,6 +149,10 @@
 	s.runs = append(s.runs, e)
 	s.mutex.Unlock()
 	s.world.logf("server %s (%s): runs request %s %s, caller service %q, %d bytes", s.id, s.on.service, id, r.URL.Path, e.caller, e.body)
+	if p.crash != nil {
+		p.crash(s, id)
+		return
+	}
 	work := p.work
 	if text := r.Header.Get(headerDeadline); text != "" {
 		if ms, err := strconv.Atoi(text); err == nil {
