blforwarder: TestCrashSoak releases held requests while the crashing one waits for them

Cause: crashSoak.step held harmless requests until its crashing request was answered. A retry of that one at a target where a held request is a suspect too waits for it in quarantine.enter, as it should, so both lasted until their deadline of 30 s (KNOWN-RED.txt). Change: the held requests are released as soon as a suspect waits at some daemon. What is checked stays the same: the status of each held request and of its repetition, and the number of crashes by the same request.

--- a/basillift/blforwarder/crashsoak_test.go
+++ b/basillift/blforwarder/crashsoak_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 var soakSeeds = flag.Int("soak.seeds", 3, "number of seeds of TestCrashSoak")
@@ -48,14 +49,12 @@
 	held := s.startHarmless(t)
 	if s.random.Intn(2) == 0 {
 		before := s.crashes()
-		s.send(t, s.random.Intn(soakDaemons), func(id string) string { return withoutTimeLimit(crashRequest(id)) })
+		s.sendCrashing(t, s.random.Intn(soakDaemons))
 		s.crashing += s.crashes() - before
 	} else {
 		s.targets[s.random.Intn(soakDaemons)].crash()
 	}
-	for _, c := range s.targets {
-		c.releaseAll()
-	}
+	s.releaseAll()
 	for path, c := range held {
 		if a := c.read(); a.status != http.StatusOK && a.status != http.StatusBadGateway {
 			t.Errorf("%s: answer %d (%v) beside a crash", path, a.status, a.err)
@@ -79,6 +78,44 @@
 	}
 }
 
+// sendCrashing sends the crashing request to a daemon. A retry of it waits for a held request that is a suspect too, so the held
+// requests are released once it waits.
+func (s *crashSoak) sendCrashing(t *testing.T, daemon int) {
+	t.Helper()
+	answered := make(chan struct{})
+	var watcher sync.WaitGroup
+	watcher.Go(func() { s.releaseOnceSuspectWaits(answered) })
+	s.send(t, daemon, func(id string) string { return withoutTimeLimit(crashRequest(id)) })
+	close(answered)
+	watcher.Wait()
+}
+
+// releaseOnceSuspectWaits releases the held requests when a suspect waits at a daemon, unless answered is closed before.
+func (s *crashSoak) releaseOnceSuspectWaits(answered <-chan struct{}) {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-answered:
+			return
+		case <-ticker.C:
+		}
+		for _, f := range s.forwarders {
+			if f.quarantine.countWaiting(0) > 0 {
+				s.releaseAll()
+				return
+			}
+		}
+	}
+}
+
+// releaseAll ends the requests that the targets hold.
+func (s *crashSoak) releaseAll() {
+	for _, c := range s.targets {
+		c.releaseAll()
+	}
+}
+
 // Guards against a crashing request that is stopped too late where targets crash for other causes too, and against refusals of
 // harmless requests then.
 func TestCrashSoak(t *testing.T) {
@@ -97,9 +134,13 @@
 	}
 }
 
-// releaseAll ends the requests that a target holds.
+// releaseAll ends the requests that a target holds, and those that it receives until holdAgain.
 func (c *crashableTarget) releaseAll() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	close(c.release)
+	select {
+	case <-c.release:
+	default:
+		close(c.release)
+	}
 }
