--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -48,6 +48,9 @@
 	return SlotRequest{id: id, route: route, rank: rank, softDeadline: softDeadline, deadline: deadline}
 }
 
+// ID returns the id that tells the request from others of its queue.
+func (r SlotRequest) ID() uint64 { return r.id }
+
 // WithLatencyObjective sets the total time within which the caller wants its answer. The time until the soft
 // deadline is what remains of it.
 func (r SlotRequest) WithLatencyObjective(d time.Duration) SlotRequest {
@@ -62,6 +65,14 @@
 	return r
 }
 
+// WithAnswerBy lowers the deadline to a time by which the caller's daemon needs the answer. The zero time changes nothing.
+func (r SlotRequest) WithAnswerBy(t time.Time) SlotRequest {
+	if !t.IsZero() && t.Before(r.deadline) {
+		r.deadline = t
+	}
+	return r
+}
+
 // AdmissionResult says what happens to a slot request on arrival.
 type AdmissionResult string
 
@@ -237,6 +248,30 @@
 	return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
 }
 
+// LowerDeadline lowers the deadline of a waiting request to that of r, which has the same id. The decision is to refuse it
+// if it is not expected to start in time any more; it is removed then. It is to run if the request does not wait.
+func (q *DeadlineQueue) LowerDeadline(now time.Time, r SlotRequest) AdmissionDecision {
+	position := q.position(r.id)
+	if position < 0 {
+		return AdmissionDecision{result: AdmissionRun}
+	}
+	e := q.waiting[position]
+	e.request = e.request.WithAnswerBy(r.deadline)
+	if latest := e.request.deadline.Add(-seconds(q.serviceTimeBoundSeconds(e.request))); latest.Before(e.latestStart) {
+		e.latestStart = latest
+	}
+	if now.Add(q.expectedWait(now, position, e.request)).After(e.latestStart) {
+		q.waiting = slices.Delete(q.waiting, position, position+1)
+		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: q.RetryAfter(now)}
+	}
+	return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
+}
+
+// position returns the position of a request in the waiting list; negative if it does not wait.
+func (q *DeadlineQueue) position(id uint64) int {
+	return slices.IndexFunc(q.waiting, func(e *deadlineEntry) bool { return e.request.id == id })
+}
+
 // latestStart is the time by which a request must have started: early enough for its soft deadline, or after the
 // minimum wait if that is later, but always early enough for its deadline. A nested call has its deadline only.
 func (q *DeadlineQueue) latestStart(now time.Time, r SlotRequest) time.Time {
@@ -341,7 +376,7 @@
 
 // Withdraw removes a waiting request. It reports whether the request was still waiting and thus did not run.
 func (q *DeadlineQueue) Withdraw(id uint64) bool {
-	i := slices.IndexFunc(q.waiting, func(e *deadlineEntry) bool { return e.request.id == id })
+	i := q.position(id)
 	if i < 0 {
 		return false
 	}
--- a/basillift/bladmit/deadlinequeue_test.go
+++ b/basillift/bladmit/deadlinequeue_test.go
@@ -220,3 +220,48 @@
 		}
 	}
 }
+
+// Guards against requests that wait on although their answers would come too late for a daemon that is stopping.
+func TestLowerDeadline(t *testing.T) {
+	const serviceTime = 100 * time.Millisecond
+	// The slot is taken, and two requests wait.
+	newQueue := func() *DeadlineQueue {
+		q := warmedQueue(1, "a", serviceTime)
+		for id := uint64(1); id <= 3; id++ {
+			q.Arrive(baseTime, slotRequest(baseTime, id, "a", 1, time.Second))
+		}
+		return q
+	}
+	lowered := func(id uint64, answerBy time.Duration) SlotRequest {
+		return slotRequest(baseTime, id, "a", 1, time.Second).WithAnswerBy(baseTime.Add(answerBy))
+	}
+	t.Run("a request that can be answered in time waits no longer than that", func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue()
+		decision := q.LowerDeadline(baseTime, lowered(2, 500*time.Millisecond))
+		assertResult(t, decision, AdmissionWait)
+		is.True(!decision.WaitUntil().After(baseTime.Add(500*time.Millisecond - serviceTime)))
+		assertStarted(t, q.Finish(baseTime, 1, true), 2)
+	})
+	t.Run("a request behind too many others is refused", func(t *testing.T) {
+		q := newQueue()
+		assertResult(t, q.LowerDeadline(baseTime, lowered(3, 250*time.Millisecond)), AdmissionRefuse)
+		assertStarted(t, q.Finish(baseTime, 1, true), 2)
+		assertStarted(t, q.Finish(baseTime, 2, true))
+	})
+	t.Run("a later time changes nothing", func(t *testing.T) {
+		q := newQueue()
+		before := q.LowerDeadline(baseTime, lowered(2, time.Hour))
+		assertResult(t, before, AdmissionWait)
+		is.New(t).Equal(q.LowerDeadline(baseTime, lowered(2, 2*time.Hour)).WaitUntil(), before.WaitUntil())
+	})
+	t.Run("a request that runs stays", func(t *testing.T) {
+		q := newQueue()
+		assertResult(t, q.LowerDeadline(baseTime, lowered(1, 0)), AdmissionRun)
+		assertStarted(t, q.Finish(baseTime, 1, true), 2)
+	})
+	t.Run("without a time the deadline stays", func(t *testing.T) {
+		r := slotRequest(baseTime, 1, "a", 1, time.Second)
+		is.New(t).Equal(r.WithAnswerBy(time.Time{}), r)
+	})
+}
--- a/basillift/blforwarder/admission.go
+++ b/basillift/blforwarder/admission.go
@@ -47,11 +47,11 @@
 }
 
 // acquire takes the slot that is reserved for a request, or waits for one. It returns the slot's id, or the refusal.
-func (ad *admission) acquire(ctx context.Context, now time.Time, requestID string, meta requestMetadata) (id uint64, refusal *answer) {
-	if slot, reserved := ad.takeReserved(requestID); reserved {
+func (ad *admission) acquire(ctx context.Context, now time.Time, accepted *acceptedRequest, meta requestMetadata) (id uint64, refusal *answer) {
+	if slot, reserved := ad.takeReserved(accepted.id); reserved {
 		return slot, nil
 	}
-	return ad.slotQueue.acquire(ctx, now, meta.slotRequest)
+	return ad.slotQueue.acquire(ctx, now, accepted, accepted.slotRequest(meta))
 }
 
 // classify records a request and returns its metadata with nestedCall, rank and bestRank set. A nested call takes
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blbalance"
 	"basillift.dev/basillift/blfleet"
@@ -64,6 +66,9 @@
 
 func (c *callerSide) handle(ctx context.Context, r *request) *answer {
 	f := c.forwarder
+	if f.refusesRequests.Load() {
+		return c.recordUnrouted(r, notRunAnswer(basillift.ReasonDraining, defaultRetryAfter))
+	}
 	table := c.awaitTable(ctx)
 	if table == nil {
 		return c.recordUnrouted(r, notRunAnswer(basillift.ReasonNoVersion, defaultRetryAfter))
@@ -212,11 +217,22 @@
 		return unknownAnswer(http.StatusGatewayTimeout, basillift.ReasonDeadline)
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return notRunAnswer(basillift.ReasonCallerGone, defaultRetryAfter)
+		return notRunAnswer(canceledReason(ctx), defaultRetryAfter)
 	}
 	return notRunAnswer(basillift.ReasonDeadline, defaultRetryAfter)
 }
 
+// errStopping is the cause of the end of a context of requests that a stop ends.
+var errStopping = eris.New("the daemon is stopping")
+
+// canceledReason returns why the context of a request was canceled.
+func canceledReason(ctx context.Context) basillift.Reason {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return basillift.ReasonDraining
+	}
+	return basillift.ReasonCallerGone
+}
+
 // attempt chooses a target, sends the request to it and records the result.
 func (c *callerSide) attempt(ctx context.Context, rr *routedRequest) (*answer, blretry.AttemptResult) {
 	f := c.forwarder
@@ -288,6 +304,9 @@
 		a := f.targetSide.run(ctx, c.localRequest(rr.request), rr.metadata)
 		return a, attemptResult(a)
 	}
+	remote, answerBy := f.answerDeadlines.start(rr.request.header(f.settings.headerNames.RequestID()), t.Endpoint().Daemon())
+	defer f.answerDeadlines.end(remote)
+	rr.metadata.answerBy = answerBy
 	if c.needsReservation(rr, t) {
 		if a, result, reserved := c.reserveBody(ctx, rr, t); !reserved {
 			return a, result
@@ -385,6 +404,7 @@
 	// The target's daemon gives up earlier by the transfer time, so that its own answer arrives before the deadline.
 	metadata.deadline = metadata.deadline.Add(-answerMargin)
 	b = appendField(b, headerHop, metadata.format(now))
+	b = metadata.appendAnswerBy(b, now)
 	if s, known := c.forwarder.quarantine.suspicion(now, rr.fingerprint); known {
 		b = appendField(b, headerSuspicion, formatSuspicion(now, s))
 	}
--- a/basillift/blforwarder/crashdetector.go
+++ b/basillift/blforwarder/crashdetector.go
@@ -21,11 +21,14 @@
 // targetRun is a request at the VM's own target.
 type targetRun struct {
 	fingerprint func() blquarantine.Fingerprint
+	accepted    *acceptedRequest
 	// crashed is set once a crash of the target was recorded during the run.
 	crashed bool
 }
 
-func newTargetRun(r *request) *targetRun { return &targetRun{fingerprint: fingerprintOf(r)} }
+func newTargetRun(r *request, accepted *acceptedRequest) *targetRun {
+	return &targetRun{fingerprint: fingerprintOf(r), accepted: accepted}
+}
 
 // fingerprintOf returns a function that computes the fingerprint of a request at its first call. Of a body that is streamed
 // the fingerprint covers the part in memory.
--- a/basillift/blforwarder/doc.go
+++ b/basillift/blforwarder/doc.go
@@ -15,6 +15,13 @@
 // "unknown" otherwise. A request that must not run twice is answered with 503 or sent again
 // only after "not-run".
 //
+// # Stop
+//
+// A daemon that stops needs all answers before the end of its grace period. It tells the daemons
+// at which its callers' requests wait (answerDeadlines); each of them, and the daemon itself for
+// its own target, refuses the requests that it can't answer in time (acceptedRequests). Requests
+// that have arrived and are not read yet are refused as well.
+//
 // # Large bodies
 //
 // Before a large body is sent to a VM with a slow link or to another failure domain, the
@@ -27,5 +34,5 @@
 //	forwarder := blforwarder.New(settings, holder, fleet, log, rnd)
 //	err := forwarder.Listen()
 //	err = forwarder.Run(ctx)  // serves until ctx ends
-//	forwarder.Drain(ctx)      // fails readiness checks, answers the requests in flight, then returns
+//	forwarder.Drain(ctx)      // fails readiness checks, answers all requests before the deadline of ctx, then returns
 package blforwarder
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -157,8 +157,10 @@
 	forwarders      []*Forwarder
 	callerAddresses []string
 	daemonAddresses []string
-	fleet           *blfleet.Fleet
-	tables          *bltable.Holder
+	// cancels end the run of each daemon.
+	cancels []context.CancelFunc
+	fleet   *blfleet.Fleet
+	tables  *bltable.Holder
 }
 
 func startMesh(t *testing.T, targets ...*fakeTarget) *mesh {
@@ -216,7 +218,7 @@
 		cancel()
 		is.New(t).NoErr(<-done)
 	})
-	m.forwarders = append(m.forwarders, fw)
+	m.forwarders, m.cancels = append(m.forwarders, fw), append(m.cancels, cancel)
 	m.callerAddresses = append(m.callerAddresses, fw.callerServer.listener.Addr().String())
 	m.daemonAddresses = append(m.daemonAddresses, fw.meshServer.listener.Addr().String())
 }
@@ -294,3 +296,6 @@
 func removalOf(key string, revision basillift.Revision) basillift.RegistryEntry {
 	return basillift.NewRegistryEntry(key, revision)
 }
+
+// acceptedAs returns a request at the target's daemon whose deadline alone matters.
+func acceptedAs(id string) *acceptedRequest { return &acceptedRequest{id: id} }
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -29,14 +29,6 @@
 	sweepInterval = 500 * time.Millisecond
 	// forgetAfter is how long the load report of an unused target is kept.
 	forgetAfter = time.Minute
-	// newRequestPeriod is how long after the start of a stop callers may still send requests: two failed readiness
-	// checks at an interval of one second.
-	newRequestPeriod = 2300 * time.Millisecond
-	// readyFailureThreshold is the number of consecutive failed readiness checks after which callers send no new
-	// requests.
-	readyFailureThreshold = 2
-	// drainCheckInterval is how often a stop checks whether requests are in flight.
-	drainCheckInterval = 10 * time.Millisecond
 )
 
 // Forwarder is the request proxy of one daemon.
@@ -76,8 +68,14 @@
 	// startedAt is when the daemon started. A target that started before may have named a request limit already.
 	startedAt time.Time
 	stopping  atomic.Bool
-	// refusesDaemons is set once a stop refuses new requests of other daemons.
-	refusesDaemons atomic.Bool
+	// refusesRequests is set once a stop refuses new requests of callers and of other daemons.
+	refusesRequests atomic.Bool
+	// callerContext is canceled when the answers to callers are needed at once, at the end of a stop.
+	callerContext context.Context
+	endCallers    context.CancelCauseFunc
+	// accepted are the requests at the target side.
+	accepted        *acceptedRequests
+	answerDeadlines *answerDeadlines
 	// drainPeriod is how long a leaving target may be used, in nanoseconds.
 	drainPeriod atomic.Int64
 	// failedReadyChecks counts the readiness checks answered with 503 since the stop began.
@@ -98,6 +96,8 @@
 	f.announcer = newSuspicionAnnouncer(f, rand.New(rand.NewSource(rnd.Int63())))
 	f.drainPeriod.Store(int64(s.drainPeriod))
 	f.feedContext, f.cancelFeeds = context.WithCancel(context.Background())
+	f.callerContext, f.endCallers = context.WithCancelCause(context.Background())
+	f.accepted, f.answerDeadlines = newAcceptedRequests(), newAnswerDeadlines(f)
 	if s.slowLink {
 		f.transfers = newTransferQueue()
 	}
@@ -136,12 +136,13 @@
 // Run serves until ctx ends, then closes all connections. Call Drain first to let requests finish.
 func (f *Forwarder) Run(ctx context.Context) error {
 	f.tasks.Go(func() { f.meshServer.loop(ctx) })
-	f.tasks.Go(func() { f.callerServer.loop(ctx) })
+	f.tasks.Go(func() { f.callerServer.loop(f.callerContext) })
 	f.announcer.resync(time.Now())
 	f.tasks.Go(func() { f.announcer.loop(ctx) })
 	f.tasks.Go(func() { _ = f.readyServer.Serve(f.readyListener) })
 	f.loop(ctx)
 	f.cancelFeeds()
+	f.endCallers(errStopping)
 	f.callerServer.stop()
 	f.meshServer.stop()
 	err := f.readyServer.Shutdown()
@@ -199,36 +200,6 @@
 	}
 }
 
-// Drain fails readiness checks, serves requests in flight and those that callers still send, and returns when no
-// request is left or ctx ends.
-func (f *Forwarder) Drain(ctx context.Context) {
-	f.stopping.Store(true)
-	f.cancelFeeds()
-	f.callerServer.drain(false)
-	f.meshServer.drain(false)
-	started := time.Now()
-	ticker := time.NewTicker(drainCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if now.Sub(started) < newRequestPeriod && f.failedReadyChecks.Load() < readyFailureThreshold {
-				continue
-			}
-			f.refusesDaemons.Store(true)
-			// New connections are refused from here on. A refused connection tells the caller that no byte of its
-			// request was read.
-			f.callerServer.closeListener()
-			f.callerServer.drain(true)
-			if !f.callerServer.busy() && !f.meshServer.busy() {
-				return
-			}
-		}
-	}
-}
-
 // Ready reports whether callers may send requests: a routing table is in force and no stop has begun.
 func (f *Forwarder) Ready() bool { return !f.stopping.Load() && f.tables.Current() != nil }
 
--- a/basillift/blforwarder/quarantine.go
+++ b/basillift/blforwarder/quarantine.go
@@ -70,23 +70,28 @@
 	}
 	expectedWait := time.Duration(q.countWaiting(1)) * serviceTime
 	defer q.countWaiting(-1)
-	if now.Add(expectedWait).After(latest) {
-		return notRunAnswer(basillift.ReasonOverload, expectedWait)
-	}
 	timer := time.NewTimer(latest.Sub(now))
 	defer timer.Stop()
 	for {
+		deadlineChanged := run.accepted.changes()
+		latest = run.accepted.limit(latest.Add(serviceTime)).Add(-serviceTime)
+		if now.Add(expectedWait).After(latest) {
+			return notRunAnswer(basillift.ReasonOverload, expectedWait)
+		}
+		timer.Reset(latest.Sub(now))
 		// A request may have ended before this one was counted as waiting.
 		if refusal, changed = q.tryEnter(time.Now(), run); refusal != nil || changed == nil {
 			return refusal
 		}
 		select {
 		case <-changed:
+		case <-deadlineChanged:
 		case <-timer.C:
 			return notRunAnswer(basillift.ReasonOverload, 0)
 		case <-ctx.Done():
-			return notRunAnswer(basillift.ReasonCallerGone, 0)
+			return notRunAnswer(canceledReason(ctx), 0)
 		}
+		now, expectedWait = time.Now(), 0
 	}
 }
 
--- a/basillift/blforwarder/reservations.go
+++ b/basillift/blforwarder/reservations.go
@@ -28,8 +28,9 @@
 
 // reserve waits for a slot and reserves it for a request, replacing an earlier reservation of the same request. It
 // returns nil, or the refusal.
-func (rs *reservations) reserve(ctx context.Context, now time.Time, requestID string, slotRequest func(id uint64) bladmit.SlotRequest) (refusal *answer) {
-	slot, refusal := rs.acquire(ctx, now, slotRequest)
+func (rs *reservations) reserve(ctx context.Context, now time.Time, accepted *acceptedRequest, slotRequest func(id uint64) bladmit.SlotRequest) (refusal *answer) {
+	requestID := accepted.id
+	slot, refusal := rs.acquire(ctx, now, accepted, slotRequest)
 	if refusal != nil {
 		return refusal
 	}
--- a/basillift/blforwarder/reservations_test.go
+++ b/basillift/blforwarder/reservations_test.go
@@ -51,7 +51,7 @@
 	ctx, now := context.Background(), time.Now()
 	reserve := func(t *testing.T, ad *admission, id string) {
 		t.Helper()
-		is.New(t).True(ad.reserve(ctx, now, id, uploadMetadata(now, hangGuard).slotRequest) == nil)
+		is.New(t).True(ad.reserve(ctx, now, acceptedAs(id), uploadMetadata(now, hangGuard).slotRequest) == nil)
 	}
 	t.Run("the body takes its reserved slot", func(t *testing.T) {
 		is := is.New(t)
@@ -60,7 +60,7 @@
 			reserve(t, ad, fmt.Sprintf("p%d", i))
 		}
 		is.Equal(ad.load().Running(), defaultSlots)
-		_, refusal := ad.acquire(ctx, now, "p2", uploadMetadata(now, hangGuard))
+		_, refusal := ad.acquire(ctx, now, acceptedAs("p2"), uploadMetadata(now, hangGuard))
 		is.True(refusal == nil)
 		is.Equal(ad.load().Running(), defaultSlots)
 		is.Equal(ad.reservedCount(), defaultSlots-1)
--- a/basillift/blforwarder/server.go
+++ b/basillift/blforwarder/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -14,17 +15,29 @@
 // acceptRetryDelay is the pause after a failed accept, e.g. when the process is out of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
+const (
+	// backlogTimeout is how long a server that refuses connections waits for a further one in the listener's queue.
+	backlogTimeout = 100 * time.Millisecond
+	// maxBacklogTime bounds the time for all of them.
+	maxBacklogTime = 500 * time.Millisecond
+)
+
 // server accepts connections and runs a session for each.
 type server struct {
 	address  string
 	handler  handler
 	listener net.Listener
 
-	mutex    sync.Mutex
-	sessions map[*session]struct{}
-	draining bool
-	refusing bool
-	tasks    sync.WaitGroup
+	mutex          sync.Mutex
+	sessions       map[*session]struct{}
+	draining       bool
+	refusing       bool
+	stopped        bool
+	listenerClosed bool
+	// closeBy is set once the server refuses connections: those in the listener's queue are accepted until then, since their
+	// callers may have sent requests.
+	closeBy time.Time
+	tasks   sync.WaitGroup
 }
 
 func newServer(address string, h handler) *server {
@@ -42,19 +55,48 @@
 
 // loop accepts connections until the listener is closed.
 func (s *server) loop(ctx context.Context) {
+	finalAccept := false
 	for {
 		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if finalAccept || !s.extendBacklogDeadline(time.Now()) {
+				s.closeListener()
+				return
+			}
+			finalAccept = true
+			continue
+		case err != nil:
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		finalAccept = false
 		s.serve(ctx, conn)
 	}
 }
 
+// refuseConnections closes the listener once its queue has no more connections.
+func (s *server) refuseConnections() {
+	now := time.Now()
+	s.mutex.Lock()
+	s.closeBy = now.Add(maxBacklogTime)
+	s.mutex.Unlock()
+	s.extendBacklogDeadline(now)
+}
+
+// extendBacklogDeadline gives a server that refuses connections the time to accept one more; false if that time is over.
+func (s *server) extendBacklogDeadline(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l, ok := s.listener.(*net.TCPListener)
+	if !ok || !now.Before(s.closeBy) {
+		return false
+	}
+	return l.SetDeadline(now.Add(backlogTimeout)) == nil
+}
+
 func (s *server) serve(ctx context.Context, conn net.Conn) {
 	if d, err := blpool.DescriptorOf(conn); err == nil {
 		// On an error the connection is served without this timeout.
@@ -62,9 +104,13 @@
 	}
 	n := newSession(conn, s.handler, s)
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.stopped {
+		_ = conn.Close()
+		return
+	}
 	s.sessions[n] = struct{}{}
 	n.closing, n.refusing = s.draining, s.refusing
-	s.mutex.Unlock()
 	s.tasks.Go(func() { n.run(ctx) })
 }
 
@@ -74,8 +120,8 @@
 	delete(s.sessions, n)
 }
 
-// drain makes all sessions close after their pending requests. If refuse is set, they take no more requests, and idle
-// sessions are closed.
+// drain makes all sessions close after their pending requests. If refuse is set, idle sessions are closed after the requests
+// that they have received and not read, and the others take no more requests.
 func (s *server) drain(refuse bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -97,16 +143,27 @@
 	return false
 }
 
+// hasSessions reports whether any session is open, or a connection may still be accepted.
+func (s *server) hasSessions() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.sessions) > 0 || !s.listenerClosed
+}
+
 // closeListener refuses new connections. It may be called more than once.
 func (s *server) closeListener() {
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listenerClosed = true
 }
 
 func (s *server) stop() {
 	s.closeListener()
 	s.mutex.Lock()
+	s.stopped = true
 	for n := range s.sessions {
 		_ = n.conn.Close()
 	}
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -21,6 +21,9 @@
 // their answer.
 const discardTimeout = time.Second
 
+// finalReadTimeout is how long an idle session that a stop closes waits for a request that the peer may have sent.
+const finalReadTimeout = 100 * time.Millisecond
+
 // connLimits bounds what the peer of a connection may send, and how long it may take.
 type connLimits struct {
 	headerBytes   int
@@ -52,9 +55,11 @@
 	mutex   sync.Mutex
 	pending int
 	closing bool
-	// refusing is set once no further request may be started.
+	// refusing is set once no further request may be started, except one that an idle session has received and not read.
 	refusing bool
-	closed   bool
+	// finalRead is set once an idle session that is refusing waits for such a request.
+	finalRead bool
+	closed    bool
 }
 
 // pipelinedRequest is one request of a session, with the channel for its answer.
@@ -147,7 +152,7 @@
 		if err == nil {
 			return s.countRequest(), false
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && s.busy() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && (s.busy() || s.startFinalRead()) {
 			continue
 		}
 		return false, !errors.Is(err, os.ErrDeadlineExceeded)
@@ -161,19 +166,32 @@
 	if s.closed {
 		return false
 	}
-	_ = s.conn.SetReadDeadline(now.Add(s.handler.connLimits().idleTimeout))
+	timeout := s.handler.connLimits().idleTimeout
+	if s.refusing && s.pending == 0 {
+		timeout = finalReadTimeout
+		s.finalRead = true
+	}
+	_ = s.conn.SetReadDeadline(now.Add(timeout))
 	return true
 }
 
+// startFinalRead reports whether an idle session has yet to look for a request that it has received before a stop closes it.
+func (s *session) startFinalRead() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.refusing && !s.finalRead && !s.closed
+}
+
 // countRequest counts a pending request. It returns false if the session takes no more requests. The request then stays
 // unread behind an answer that closes the connection, so that the caller knows that it did not run.
 func (s *session) countRequest() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.refusing && !s.closed {
+	refused := s.refusing && s.pending > 0
+	if refused && !s.closed {
 		s.bodyUnread = true
 	}
-	if s.closed || s.refusing {
+	if s.closed || refused {
 		return false
 	}
 	s.pending++
@@ -307,13 +325,12 @@
 }
 
 // closeAfterPending closes the session after its pending requests. If refuse is set, it takes no more requests, and an idle
-// session is closed at once; otherwise it may still send one request.
+// session is closed after a request that it has received and not read; otherwise it may still send one request.
 func (s *session) closeAfterPending(refuse bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.closing, s.refusing = true, refuse
 	if s.pending == 0 && refuse {
-		s.closed = true
 		s.interruptRead()
 	}
 }
--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -33,8 +33,10 @@
 	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan bool), requestLimit: noRequestLimit}
 }
 
-// acquire waits for a slot. It returns the slot's id, or the refusal.
-func (sq *slotQueue) acquire(ctx context.Context, now time.Time, slotRequest func(id uint64) bladmit.SlotRequest) (id uint64, refusal *answer) {
+// acquire waits for a slot. It returns the slot's id, or the refusal. slotRequest is called again when the answer to the
+// accepted request is needed earlier.
+func (sq *slotQueue) acquire(ctx context.Context, now time.Time, accepted *acceptedRequest, slotRequest func(id uint64) bladmit.SlotRequest) (id uint64, refusal *answer) {
+	changed := accepted.changes()
 	id, decision, ended := sq.enqueue(now, slotRequest)
 	switch decision.Result() {
 	case bladmit.AdmissionRun:
@@ -44,26 +46,43 @@
 	}
 	timer := time.NewTimer(decision.WaitUntil().Sub(now))
 	defer timer.Stop()
-	select {
-	case started := <-ended:
-		if !started {
-			return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
-		}
-		return id, nil
-	case <-timer.C:
-		if sq.withdraw(id) {
-			return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
-		}
-	case <-ctx.Done():
-		if sq.withdraw(id) {
-			return 0, notRunAnswer(basillift.ReasonCallerGone, 0)
+	for {
+		select {
+		case started := <-ended:
+			if !started {
+				return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+			}
+			return id, nil
+		case <-changed:
+			changed = accepted.changes()
+			now = time.Now()
+			if waitUntil, waits := sq.lowerDeadline(now, slotRequest(id)); waits {
+				timer.Reset(waitUntil.Sub(now))
+			}
+		case <-timer.C:
+			if sq.withdraw(id) {
+				return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+			}
+		case <-ctx.Done():
+			if sq.withdraw(id) {
+				return 0, notRunAnswer(canceledReason(ctx), 0)
+			}
+			// The wait ended otherwise meanwhile.
+			ctx = context.WithoutCancel(ctx)
 		}
 	}
-	// The wait ended otherwise meanwhile.
-	if started := <-ended; !started {
-		return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+}
+
+// lowerDeadline lowers the deadline of a waiting request. It returns until when the request waits; false if its wait has
+// ended.
+func (sq *slotQueue) lowerDeadline(now time.Time, r bladmit.SlotRequest) (waitUntil time.Time, waits bool) {
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	decision := sq.queue.LowerDeadline(now, r)
+	if decision.Result() == bladmit.AdmissionRefuse {
+		sq.endWait(r.ID(), false)
 	}
-	return id, nil
+	return decision.WaitUntil(), decision.Result() == bladmit.AdmissionWait
 }
 
 // enqueue adds a request to the queue. It returns the request's id and the decision of the queue: run, wait or refuse.
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -46,6 +46,8 @@
 	advisory basillift.Advisory
 	// newestRevision is the newest revision of the registry that the caller's daemon has observed.
 	newestRevision basillift.Revision
+	// answerBy is when the caller's daemon, which is stopping, needs the answer; zero if it is not stopping.
+	answerBy time.Time
 }
 
 // parentRequest describes the request that most likely made a nested call. The caller's daemon determines it: the
@@ -79,10 +81,14 @@
 	if digest := r.header(headerSuspicions); digest != "" {
 		return t.answerSuspicions(r.arrived, r, digest)
 	}
+	if text := r.header(headerDeadlines); text != "" {
+		return t.answerDeadlines(r, text)
+	}
 	meta, ok := parseMetadata(r.header(headerHop), r.arrived)
 	if !ok {
 		return rejectedAnswer(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
+	meta.answerBy, _ = parseAnswerBy(r.header(headerAnswerBy), r.arrived)
 	t.forwarder.gossip.ObserveRevision(meta.newestRevision)
 	if text := r.header(headerSuspicion); text != "" {
 		if s, ok := parseSuspicion(r.arrived, text, fingerprintOf(r)); ok {
@@ -105,7 +111,9 @@
 // run admits a request and sends it to the target. The answer carries the target's load report.
 func (t *targetSide) run(ctx context.Context, r *request, meta requestMetadata) *answer {
 	meta.callerService = r.header(t.forwarder.settings.headerNames.Caller())
-	run := newTargetRun(r)
+	accepted := t.forwarder.accepted.add(r.header(t.forwarder.settings.headerNames.RequestID()), meta.answerBy)
+	defer t.forwarder.accepted.remove(accepted)
+	run := newTargetRun(r, accepted)
 	a := t.admit(ctx, r, run, meta)
 	t.forwarder.quarantine.leave(run)
 	a.load = t.loadReport()
@@ -129,9 +137,13 @@
 		}
 	}
 	meta = f.admission.classify(now, meta)
-	id, refusal := f.admission.acquire(ctx, now, r.header(f.settings.headerNames.RequestID()), meta)
+	id, refusal := f.admission.acquire(ctx, now, run.accepted, meta)
 	if refusal != nil {
 		refusal.nestedCall = meta.nestedCall
+		if f.stopping.Load() && refusal.reason == basillift.ReasonOverload {
+			// This daemon serves no requests soon, whatever the queue expects.
+			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
+		}
 		return refusal
 	}
 	started := time.Now()
@@ -163,7 +175,7 @@
 // checkAvailable returns a refusal if the request cannot run here whatever the load is, and nil otherwise.
 func (t *targetSide) checkAvailable(now time.Time, meta requestMetadata) (refusal *answer) {
 	f := t.forwarder
-	if f.refusesDaemons.Load() {
+	if f.refusesRequests.Load() {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
 	if since, leaving := f.ownTargetLeaving(meta.instance); leaving && now.Sub(since) > time.Duration(f.drainPeriod.Load())-drainMargin {
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/bladmit"
 )
 
 const (
@@ -31,10 +32,13 @@
 
 // reserveTransfer waits until the body of a request may be sent. serviceTime is how long the target will run the request
 // after the transfer; it is subtracted from both deadlines.
-func (tq *transferQueue) reserveTransfer(ctx context.Context, now time.Time, requestID string, meta requestMetadata, serviceTime time.Duration) (refusal *answer) {
-	transfer := meta
-	transfer.softDeadline, transfer.deadline = meta.softDeadline.Add(-serviceTime), meta.deadline.Add(-serviceTime)
-	return tq.reserve(ctx, now, requestID, transfer.slotRequest)
+func (tq *transferQueue) reserveTransfer(ctx context.Context, now time.Time, accepted *acceptedRequest, meta requestMetadata, serviceTime time.Duration) (refusal *answer) {
+	slotRequest := func(id uint64) bladmit.SlotRequest {
+		transfer := meta
+		transfer.softDeadline, transfer.deadline = meta.softDeadline.Add(-serviceTime), accepted.limit(meta.deadline).Add(-serviceTime)
+		return transfer.slotRequest(id)
+	}
+	return tq.reserve(ctx, now, accepted, slotRequest)
 }
 
 // endTransfer ends a transfer. observed is false if its time must not be counted, because the body did not arrive or
@@ -68,13 +72,14 @@
 	now := time.Now()
 	meta.callerService = r.header(f.settings.headerNames.Caller())
 	refusal := t.checkAvailable(now, meta)
-	id := r.header(f.settings.headerNames.RequestID())
+	accepted := f.accepted.add(r.header(f.settings.headerNames.RequestID()), meta.answerBy)
+	defer f.accepted.remove(accepted)
 	switch {
 	case refusal != nil:
 	case f.transfers != nil:
-		refusal = f.transfers.reserveTransfer(ctx, now, id, meta, f.admission.serviceTimeBound(meta))
+		refusal = f.transfers.reserveTransfer(ctx, now, accepted, meta, f.admission.serviceTimeBound(meta))
 	default:
-		refusal = f.admission.reserve(ctx, now, id, f.admission.classify(now, meta).slotRequest)
+		refusal = f.admission.reserve(ctx, now, accepted, accepted.slotRequest(f.admission.classify(now, meta)))
 	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if refusal != nil {
@@ -124,5 +129,6 @@
 	b = appendField(b, names.Caller(), c.forwarder.settings.service)
 	b = appendField(b, headerPermit, "1")
 	b = appendField(b, headerHop, metadata.format(now))
+	b = metadata.appendAnswerBy(b, now)
 	return append(b, "\r\n"...)
 }
--- a/basillift/blforwarder/transferqueue_test.go
+++ b/basillift/blforwarder/transferqueue_test.go
@@ -34,9 +34,11 @@
 	t.Run("one body at a time", func(t *testing.T) {
 		is := is.New(t)
 		tq := newTransferQueue()
-		is.True(tq.reserveTransfer(ctx, now, "first", uploadMetadata(now, hangGuard), 0) == nil)
+		is.True(tq.reserveTransfer(ctx, now, acceptedAs("first"), uploadMetadata(now, hangGuard), 0) == nil)
 		second := make(chan *answer, 1)
-		go func() { second <- tq.reserveTransfer(ctx, now, "second", uploadMetadata(now, hangGuard), 0) }()
+		go func() {
+			second <- tq.reserveTransfer(ctx, now, acceptedAs("second"), uploadMetadata(now, hangGuard), 0)
+		}()
 		for tq.load().Queued() == 0 {
 			time.Sleep(time.Millisecond)
 		}
@@ -49,10 +51,10 @@
 		is := is.New(t)
 		tq := newTransferQueue()
 		// The first body gives the estimate of the transfer time.
-		is.True(tq.reserveTransfer(ctx, now, "a", uploadMetadata(now, time.Second), 0) == nil)
+		is.True(tq.reserveTransfer(ctx, now, acceptedAs("a"), uploadMetadata(now, time.Second), 0) == nil)
 		tq.endTransfer(now.Add(400*time.Millisecond), "a", true)
-		is.True(tq.reserveTransfer(ctx, now, "b", uploadMetadata(now, time.Second), 0) == nil)
-		refusal := tq.reserveTransfer(ctx, now, "c", uploadMetadata(now, 500*time.Millisecond), 300*time.Millisecond)
+		is.True(tq.reserveTransfer(ctx, now, acceptedAs("b"), uploadMetadata(now, time.Second), 0) == nil)
+		refusal := tq.reserveTransfer(ctx, now, acceptedAs("c"), uploadMetadata(now, 500*time.Millisecond), 300*time.Millisecond)
 		is.True(refusal != nil)
 		is.Equal(refusal.outcome, basillift.OutcomeNotRun)
 		is.True(refusal.retryAfter > 0)
@@ -60,10 +62,10 @@
 	t.Run("a body that does not arrive frees the link", func(t *testing.T) {
 		is := is.New(t)
 		tq := newTransferQueue()
-		is.True(tq.reserveTransfer(ctx, now, "lost", uploadMetadata(now, hangGuard), 0) == nil)
+		is.True(tq.reserveTransfer(ctx, now, acceptedAs("lost"), uploadMetadata(now, hangGuard), 0) == nil)
 		tq.endTransfer(now, "lost", false)
 		tq.endTransfer(now, "lost", false)
-		is.True(tq.reserveTransfer(ctx, now, "next", uploadMetadata(now, hangGuard), 0) == nil)
+		is.True(tq.reserveTransfer(ctx, now, acceptedAs("next"), uploadMetadata(now, hangGuard), 0) == nil)
 	})
 }
 
@@ -106,9 +108,9 @@
 		transfers := other.forwarders[1].transfers
 		now := time.Now()
 		is := is.New(t)
-		is.True(transfers.reserveTransfer(context.Background(), now, "slow", uploadMetadata(now, hangGuard), 0) == nil)
+		is.True(transfers.reserveTransfer(context.Background(), now, acceptedAs("slow"), uploadMetadata(now, hangGuard), 0) == nil)
 		transfers.endTransfer(now.Add(20*time.Second), "slow", true)
-		is.True(transfers.reserveTransfer(context.Background(), now, "other", uploadMetadata(now, hangGuard), 0) == nil)
+		is.True(transfers.reserveTransfer(context.Background(), now, acceptedAs("other"), uploadMetadata(now, hangGuard), 0) == nil)
 		c := other.dial(t, 0)
 		c.send(post("p0", body))
 		c.assertAnswer(503, "")
@@ -119,7 +121,7 @@
 		for i := range 2 {
 			// The mean transfer time becomes long, and the link is in use.
 			id := fmt.Sprintf("other%d", i)
-			is.True(tq.reserveTransfer(context.Background(), now, id, uploadMetadata(now, hangGuard), 0) == nil)
+			is.True(tq.reserveTransfer(context.Background(), now, acceptedAs(id), uploadMetadata(now, hangGuard), 0) == nil)
 			if i == 0 {
 				tq.endTransfer(now.Add(20*time.Second), id, true)
 			}
