blforwarder: a target's own 503 is no promise that a request has not run (TWICE)

Cause: clients send an unsafe request again after 408, 421, 429 and 503, which promise that it has not run. A target's own 408, 429 or 503, without the header that says so, was passed on although the target had run the request. Change: a request that must not run twice gets 502 in place of such an answer; others get it unchanged. The promise is then only given by a daemon that has not sent the request, or by a target that says so.

--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -159,8 +159,10 @@
 	daemonAddresses []string
 	// cancels end the run of each daemon.
 	cancels []context.CancelFunc
-	fleet   *blfleet.Fleet
-	tables  *bltable.Holder
+	// ended are closed when the daemons have ended.
+	ended  []<-chan struct{}
+	fleet  *blfleet.Fleet
+	tables *bltable.Holder
 }
 
 func startMesh(t *testing.T, targets ...*fakeTarget) *mesh {
@@ -211,16 +213,28 @@
 func (m *mesh) run(t *testing.T, fw *Forwarder) {
 	t.Helper()
 	is.New(t).NoErr(fw.Listen())
+	m.forwarders, m.cancels, m.ended = append(m.forwarders, nil), append(m.cancels, nil), append(m.ended, nil)
+	m.serve(t, len(m.forwarders)-1, fw)
+	m.callerAddresses = append(m.callerAddresses, fw.callerServer.listener.Addr().String())
+	m.daemonAddresses = append(m.daemonAddresses, fw.meshServer.listener.Addr().String())
+}
+
+// serve runs a daemon that listens, as the one with the given number, and stops it at the end of the test.
+func (m *mesh) serve(t *testing.T, daemon int, fw *Forwarder) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- fw.Run(ctx) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := fw.Run(ctx); err != nil {
+			t.Errorf("daemon %d: %v", daemon, err)
+		}
+	}()
 	t.Cleanup(func() {
 		cancel()
-		is.New(t).NoErr(<-done)
+		<-ended
 	})
-	m.forwarders, m.cancels = append(m.forwarders, fw), append(m.cancels, cancel)
-	m.callerAddresses = append(m.callerAddresses, fw.callerServer.listener.Addr().String())
-	m.daemonAddresses = append(m.daemonAddresses, fw.meshServer.listener.Addr().String())
+	m.forwarders[daemon], m.cancels[daemon], m.ended[daemon] = fw, cancel, ended
 }
 
 // endpointOf returns the entry of a target with the given number.
@@ -242,6 +256,10 @@
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(conn.SetDeadline(time.Now().Add(hangGuard)))
 	t.Cleanup(func() { _ = conn.Close() })
+	return newCaller(t, conn)
+}
+
+func newCaller(t *testing.T, conn net.Conn) *caller {
 	return &caller{t: t, conn: conn, reader: bufio.NewReader(conn)}
 }
 
--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -474,3 +474,27 @@
 	<-done
 	is.Equal(own.count("2")+other.count("2"), 0)
 }
+
+// Guards against a request that runs twice since its caller takes the target's own status for a promise that it has not run. The
+// target says nothing of the kind, and has run it.
+func TestStatusOfTargetIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprintf("status %d", status), func(t *testing.T) {
+			is := is.New(t)
+			failed := func(w net.Conn, r *http.Request, _ []byte) bool {
+				return writeAnswer(w, r, fmt.Sprintf("HTTP/1.1 %d Failed\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", status))
+			}
+			f, other := startTarget(t, failed), startTarget(t, failed)
+			m := startMesh(t, f, other)
+			for daemon := range 2 {
+				c := m.dial(t, daemon)
+				id := fmt.Sprintf("once%d", daemon)
+				c.send(post(id, "x"))
+				is.Equal(c.assertAnswer(http.StatusBadGateway, "").header.Get("X-Seal"), "")
+				is.Equal(f.count(id)+other.count(id), 1)
+				c.send(get(fmt.Sprintf("again%d", daemon), "/get/x"))
+				is.Equal(c.assertAnswer(status, "").header.Get("X-Seal"), "s")
+			}
+		})
+	}
+}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -290,11 +290,26 @@
 		// target's own answer did not arrive intact.
 		a.discard()
 		return unknownAnswer(http.StatusBadGateway, basillift.ReasonTruncated), true
+	case !meta.retryable && promisesNotRun(received.status):
+		// The target does not say that it did not run the request, but its status would say so to the caller, which may then
+		// send the request again.
+		a.discard()
+		return unknownAnswer(http.StatusBadGateway, basillift.ReasonTarget), true
 	}
 	a.outcome = basillift.OutcomeDone
 	return a, true
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func appendRequestLine(b []byte, r *request) []byte {
 	b = append(append(append(b, r.method...), ' '), r.uri...)
 	return append(b, " HTTP/1.1\r\n"...)
