--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -223,7 +223,7 @@
 
 // readAnswer skips interim answers and reads the header of the final answer and its body, or the first part of a
 // large body.
-func readAnswer(reader *bufio.Reader, h *fasthttp.ResponseHeader, method string, headReceived func(*receivedAnswer)) (*receivedAnswer, error) {
+func readAnswer(reader *bufio.Reader, h *fasthttp.ResponseHeader, r *request, headReceived func(*receivedAnswer)) (*receivedAnswer, error) {
 	for {
 		h.Reset()
 		h.DisableNormalizing()
@@ -247,11 +247,11 @@
 		headReceived(a)
 	}
 	status := a.status
-	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+	if r.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
 		a.bodyless = true
 		return a, nil
 	}
-	return a, a.readBody(reader)
+	return a, a.readBody(reader, r.memory)
 }
 
 // addHeader keeps a header field, and evaluates those that concern the connection or the encoding.
@@ -278,7 +278,7 @@
 	return 0
 }
 
-func (ra *receivedAnswer) readBody(reader *bufio.Reader) error {
+func (ra *receivedAnswer) readBody(reader *bufio.Reader, memory *bodyMemory) error {
 	var source io.Reader = reader
 	if ra.length >= -1 {
 		source = bodyReader(reader, ra.length)
@@ -287,7 +287,7 @@
 		ra.reusable = false
 		ra.length = -1
 	}
-	body, more, err := readBuffered(source, ra.length)
+	body, more, err := readBuffered(source, ra.length, memory)
 	if err != nil {
 		return fmt.Errorf("read answer body: %w", err)
 	}
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -38,6 +38,8 @@
 
 func (c *callerSide) internal() bool { return false }
 
+func (c *callerSide) newBodyMemory() *bodyMemory { return c.forwarder.bodyBudget.newMemory() }
+
 func (c *callerSide) connLimits() connLimits { return c.forwarder.connLimits() }
 
 // routedRequest is a request with its route and the state of its attempts.
--- a/basillift/blforwarder/doc.go
+++ b/basillift/blforwarder/doc.go
@@ -29,6 +29,9 @@
 // over it is reserved, otherwise a slot of the target. That avoids transfers that end in a
 // refusal, and concurrent transfers that fill the link.
 //
+// All bodies that a daemon holds in memory share a bodyBudget. Once it is used up, bodies of
+// requests and answers are streamed, as large ones always are.
+//
 // # Usage
 //
 //	forwarder := blforwarder.New(settings, holder, fleet, log, rnd)
--- a/basillift/blforwarder/endlessanswer_test.go
+++ b/basillift/blforwarder/endlessanswer_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
 )
 
 // endlessAnswer returns a script that writes a prefix and then repeats the same bytes until the daemon closes the
@@ -107,6 +111,45 @@
 			is.Equal(runs, 1)
 		})
 	}
+	for name, head := range map[string]string{
+		"after an answer without a body": "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Seal: s\r\n\r\n",
+		"after a complete answer":        okHeader + "Content-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 4)
+			c := startMesh(t, startTarget(t, endlessAnswer(head, kilobyte, 0, closed))).dial(t, 0)
+			// The second request finds the bytes behind the first answer, if these arrived too late to be seen with it.
+			for _, id := range []string{"1", "2"} {
+				c.send(post(id, "x"))
+				a := c.read()
+				is.New(t).NoErr(a.err)
+				is.New(t).Equal(a.body, "")
+				is.New(t).True(a.status < http.StatusMultipleChoices)
+			}
+			assertClosed(t, closed)
+		})
+	}
+	t.Run("to a HEAD", func(t *testing.T) {
+		closed := make(chan struct{}, 2)
+		m := startMesh(t, startTarget(t, endlessAnswer(okHeader+"Content-Length: 5\r\n\r\n", kilobyte, 0, closed)))
+		c := m.dial(t, 0)
+		c.send(strings.Replace(get("1", "/get/x"), "GET", http.MethodHead, 1))
+		a, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodHead})
+		is.New(t).NoErr(err)
+		is.New(t).Equal(a.StatusCode, http.StatusOK)
+		assertClosed(t, closed)
+	})
+	t.Run("to a caller that has left", func(t *testing.T) {
+		closed := make(chan struct{}, 2)
+		m := startMesh(t, startTarget(t, endlessAnswer(okHeader+"\r\n", kilobyte, 0, closed)))
+		m.publish(t, 2, hangGuard)
+		c := m.dial(t, 0)
+		c.send(withoutTimeLimit(post("1", "x")))
+		_, err := c.reader.Peek(1)
+		is.New(t).NoErr(err)
+		is.New(t).NoErr(c.conn.Close())
+		assertClosed(t, closed)
+	})
 	t.Run("the next request is served", func(t *testing.T) {
 		closed := make(chan struct{}, 2)
 		f := startTarget(t, endlessAnswer("", kilobyte, 0, closed))
@@ -122,3 +165,83 @@
 		c.assertAnswer(http.StatusOK, "/post/x y")
 	})
 }
+
+// Guards against a daemon that runs out of memory, and ends the requests of other callers with it: targets send answers without
+// end, and their callers read nothing.
+func TestEndlessAnswersShareMemory(t *testing.T) {
+	const (
+		targets  = 3
+		requests = 600
+		// connectionBytes bounds what a request takes besides bodies: at each of two daemons 68 KB of buffers for its connections
+		// and its answer, and less than 28 KB for its state there and for the test's side of the connection.
+		connectionBytes = 2 * (68 + 28) << 10
+		// Each target has a daemon, all in the process of the test.
+		allowedBytes = targets*maxBufferedTotal + requests*connectionBytes
+	)
+	is := is.New(t)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 16<<10, strings.Repeat("a", 16<<10))
+	closed := make(chan struct{}, 2*requests)
+	endless := endlessAnswer(chunkedHeader, chunk, 0, closed)
+	var started atomic.Int32
+	fakes := make([]*fakeTarget, 0, targets)
+	for range targets {
+		fakes = append(fakes, startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+			if r.URL.Path == "/get/last" {
+				return answerOK(w, r, body)
+			}
+			started.Add(1)
+			return endless(w, r, body)
+		}))
+	}
+	m := startMesh(t, fakes...)
+	m.publish(t, 2, 10*hangGuard)
+	for i, f := range fakes {
+		e := basillift.NewEndpoint(fmt.Sprintf("i%d", i), "catalogue", f.address, "a", requests, basillift.TargetReady).WithDaemon(m.daemonAddresses[i])
+		m.fleet.Apply(time.Now(), basillift.NewRegistryEntry(fmt.Sprintf("t%d", i), 9).WithEndpoint(e))
+		m.forwarders[i].TargetsChanged(time.Now())
+	}
+	before := int(liveHeapBytes())
+	callers := make([]*caller, 0, requests)
+	for len(callers) < requests {
+		c := m.dial(t, 0)
+		c.send(strings.Replace(get(fmt.Sprint(len(callers)), "/get/x"), "X-Deadline: 900\r\n", "", 1))
+		// The head arrives once the daemon forwards the body. An overloaded daemon may refuse the request.
+		status, err := c.reader.Peek(len("HTTP/1.1 200"))
+		is.NoErr(err)
+		if strings.HasSuffix(string(status), "200") {
+			callers = append(callers, c)
+		}
+	}
+	// A body that is still growing is held twice.
+	grown, end := int(liveHeapBytes())-before, time.Now().Add(hangGuard)
+	for grown > allowedBytes && time.Now().Before(end) {
+		time.Sleep(10 * time.Millisecond)
+		grown = int(liveHeapBytes()) - before
+	}
+	t.Logf("%d MB for %d answers", grown>>20, requests)
+	if grown > allowedBytes {
+		t.Errorf("%d MB are held for %d answers, want less than %d MB", grown>>20, requests, allowedBytes>>20)
+	}
+	last := m.dial(t, 0)
+	last.send(withoutTimeLimit(get("last", "/get/last")))
+	last.assertAnswer(http.StatusOK, "/get/last ")
+	for _, c := range callers {
+		is.NoErr(c.conn.Close())
+	}
+	for range started.Load() {
+		assertClosed(t, closed)
+	}
+	for _, f := range m.forwarders {
+		for f.bodyBudget.usedBytes() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// liveHeapBytes returns the size of all objects that are in use.
+func liveHeapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -121,7 +121,7 @@
 	h := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(h)
 	for range maxStaleAnswers + 1 {
-		a, err := readAnswer(e.conn.Reader(), &h.Header, e.request.method, e.headReceived)
+		a, err := readAnswer(e.conn.Reader(), &h.Header, e.request, e.headReceived)
 		if err != nil {
 			return nil, err
 		}
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -73,6 +73,7 @@
 	// callerContext is canceled when the answers to callers are needed at once, at the end of a stop.
 	callerContext context.Context
 	endCallers    context.CancelCauseFunc
+	bodyBudget    bodyBudget
 	// accepted are the requests at the target side.
 	accepted        *acceptedRequests
 	answerDeadlines *answerDeadlines
--- a/basillift/blforwarder/request.go
+++ b/basillift/blforwarder/request.go
@@ -37,6 +37,8 @@
 	close           bool
 	expectsContinue bool
 	arrived         time.Time
+	// memory holds the bodies of the request and of the answers to it; nil if they are not bounded together with others.
+	memory *bodyMemory
 }
 
 // requestStream is the part of a large body that has not yet been read from the connection.
@@ -132,7 +134,7 @@
 		return fmt.Errorf("read request body: %w", errTooLarge)
 	}
 	source := bodyReader(reader, r.size)
-	body, more, err := readBuffered(source, r.size)
+	body, more, err := readBuffered(source, r.size, r.memory)
 	r.body = body
 	if err != nil {
 		return fmt.Errorf("read request body: %w", err)
@@ -159,19 +161,25 @@
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
-// readBuffered reads up to maxBufferedBytes and reports whether the body has more.
-func readBuffered(source io.Reader, size int) (body []byte, more bool, err error) {
-	capacity := size
+// readBuffered reads up to maxBufferedBytes, or less if the memory does not suffice, and reports whether the body has more. size
+// is the announced size of the body; negative if it is unknown.
+func readBuffered(source io.Reader, size int, memory *bodyMemory) (body []byte, more bool, err error) {
+	expected := size
 	if size < 0 || size > maxBufferedBytes {
-		capacity = 4 << 10
+		expected = maxBufferedBytes
 	}
-	if size > maxBufferedBytes {
-		capacity = maxBufferedBytes
-	}
-	body = make([]byte, 0, capacity+1)
+	// One byte more than expected lets the last read return io.EOF.
+	body = make([]byte, 0, min(expected, minBufferedBytes)+1)
 	for len(body) < maxBufferedBytes {
 		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+			capacity := expected + 1
+			if size < 0 {
+				capacity = min(2*cap(body), capacity)
+			}
+			if !memory.take(capacity - cap(body)) {
+				break
+			}
+			body = append(make([]byte, 0, capacity), body...)
 		}
 		n, err := source.Read(body[len(body):min(cap(body), maxBufferedBytes)])
 		body = body[:len(body)+n]
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -36,6 +36,8 @@
 type handler interface {
 	serve(ctx context.Context, r *request) *answer
 	connLimits() connLimits
+	// newBodyMemory returns the memory for the bodies of a request and of the answers to it.
+	newBodyMemory() *bodyMemory
 	// internal reports whether the peer is another daemon.
 	internal() bool
 }
@@ -127,7 +129,9 @@
 		if r.expectsContinue && r.size != 0 {
 			_, _ = io.WriteString(s.conn, "HTTP/1.1 100 Continue\r\n\r\n")
 		}
+		r.memory = s.handler.newBodyMemory()
 		if err = r.readBody(s.reader, limits.bodyBytes); err != nil {
+			r.memory.release()
 			if errors.Is(err, errTooLarge) {
 				return s.reject(err, http.StatusRequestEntityTooLarge)
 			}
@@ -271,12 +275,14 @@
 		a := <-p.answer
 		if broken {
 			a.discard()
+			p.request.memory.release()
 			s.answerDone()
 			continue
 		}
 		// The connection has read deadlines only, so that an expired one does not truncate the answer.
 		err := a.write(w, s.handler.internal(), p.lastOnConn || s.closesAfterAnswer())
 		a.discard()
+		p.request.memory.release()
 		s.answerDone()
 		if err != nil || a.close {
 			broken = true
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -65,6 +65,8 @@
 
 func (t *targetSide) internal() bool { return true }
 
+func (t *targetSide) newBodyMemory() *bodyMemory { return t.forwarder.bodyBudget.newMemory() }
+
 func (t *targetSide) connLimits() connLimits {
 	limits := t.forwarder.connLimits()
 	// The caller's daemon adds headers, so this limit is higher than that for callers.
