blforwarder: a waiting request is not sent to a target after its drain period (DRAIN)

Cause: leaving was checked when a request arrived; one that waited for a slot was sent to the target whenever its turn came. Change: each waiting request has a latest start (waitLimits.startBy), which the target's leaving sets as soon as the daemon beside it learns of it. Slot queue, link queue and quarantine refuse at once what can't keep it, so that it goes to another target. Leaving and address are checked once more just before a request is sent.

--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -38,6 +38,8 @@
 	// latencyObjective is the total time within which the caller wants its answer.
 	latencyObjective time.Duration
 	nested           bool
+	// startBy is when the request must have started whatever its deadline is; zero without such a time.
+	startBy time.Time
 	// late is set by the queue for a request that can no longer meet its soft deadline.
 	late bool
 }
@@ -73,6 +75,15 @@
 	return r
 }
 
+// WithStartBy sets a time after which the request must not start any more, earlier than the one that was set. The zero time
+// changes nothing.
+func (r SlotRequest) WithStartBy(t time.Time) SlotRequest {
+	if !t.IsZero() && (r.startBy.IsZero() || t.Before(r.startBy)) {
+		r.startBy = t
+	}
+	return r
+}
+
 // AdmissionResult says what happens to a slot request on arrival.
 type AdmissionResult string
 
@@ -248,18 +259,17 @@
 	return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
 }
 
-// LowerDeadline lowers the deadline of a waiting request to that of r, which has the same id. The decision is to refuse it
-// if it is not expected to start in time any more; it is removed then. It is to run if the request does not wait.
-func (q *DeadlineQueue) LowerDeadline(now time.Time, r SlotRequest) AdmissionDecision {
+// Restrict lowers the deadline of a waiting request, and the time by which it must start, to those of r, which has the same id.
+// The decision is to refuse it if it is not expected to start in time any more; it is removed then. It is to run if the request
+// does not wait.
+func (q *DeadlineQueue) Restrict(now time.Time, r SlotRequest) AdmissionDecision {
 	position := q.position(r.id)
 	if position < 0 {
 		return AdmissionDecision{result: AdmissionRun}
 	}
 	e := q.waiting[position]
-	e.request = e.request.WithAnswerBy(r.deadline)
-	if latest := e.request.deadline.Add(-seconds(q.serviceTimeBoundSeconds(e.request))); latest.Before(e.latestStart) {
-		e.latestStart = latest
-	}
+	e.request = e.request.WithAnswerBy(r.deadline).WithStartBy(r.startBy)
+	e.latestStart = q.restrictStart(e.latestStart, e.request)
 	if now.Add(q.expectedWait(now, position, e.request)).After(e.latestStart) {
 		q.waiting = slices.Delete(q.waiting, position, position+1)
 		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: q.RetryAfter(now)}
@@ -277,15 +287,23 @@
 func (q *DeadlineQueue) latestStart(now time.Time, r SlotRequest) time.Time {
 	serviceTime := seconds(q.serviceTimeBoundSeconds(r))
 	if r.nested {
-		return r.deadline.Add(-serviceTime)
+		return q.restrictStart(r.deadline.Add(-serviceTime), r)
 	}
 	latestStart := r.softDeadline.Add(-serviceTime)
 	if minWaitEnd := now.Add(time.Duration(float64(r.latencyObjective) * minWaitFraction)); minWaitEnd.After(latestStart) {
 		latestStart = minWaitEnd
 	}
-	if deadlineStart := r.deadline.Add(-serviceTime); deadlineStart.Before(latestStart) {
+	return q.restrictStart(latestStart, r)
+}
+
+// restrictStart returns the latest start, or the earlier time that a request's deadline or startBy demands.
+func (q *DeadlineQueue) restrictStart(latestStart time.Time, r SlotRequest) time.Time {
+	if deadlineStart := r.deadline.Add(-seconds(q.serviceTimeBoundSeconds(r))); deadlineStart.Before(latestStart) {
 		latestStart = deadlineStart
 	}
+	if !r.startBy.IsZero() && r.startBy.Before(latestStart) {
+		latestStart = r.startBy
+	}
 	return latestStart
 }
 
--- a/basillift/bladmit/deadlinequeue_test.go
+++ b/basillift/bladmit/deadlinequeue_test.go
@@ -222,7 +222,7 @@
 }
 
 // Guards against requests that wait on although their answers would come too late for a daemon that is stopping.
-func TestLowerDeadline(t *testing.T) {
+func TestRestrict(t *testing.T) {
 	const serviceTime = 100 * time.Millisecond
 	// The slot is taken, and two requests wait.
 	newQueue := func() *DeadlineQueue {
@@ -238,26 +238,39 @@
 	t.Run("a request that can be answered in time waits no longer than that", func(t *testing.T) {
 		is := is.New(t)
 		q := newQueue()
-		decision := q.LowerDeadline(baseTime, lowered(2, 500*time.Millisecond))
+		decision := q.Restrict(baseTime, lowered(2, 500*time.Millisecond))
 		assertResult(t, decision, AdmissionWait)
 		is.True(!decision.WaitUntil().After(baseTime.Add(500*time.Millisecond - serviceTime)))
 		assertStarted(t, q.Finish(baseTime, 1, true), 2)
 	})
 	t.Run("a request behind too many others is refused", func(t *testing.T) {
 		q := newQueue()
-		assertResult(t, q.LowerDeadline(baseTime, lowered(3, 250*time.Millisecond)), AdmissionRefuse)
+		assertResult(t, q.Restrict(baseTime, lowered(3, 250*time.Millisecond)), AdmissionRefuse)
 		assertStarted(t, q.Finish(baseTime, 1, true), 2)
 		assertStarted(t, q.Finish(baseTime, 2, true))
 	})
+	t.Run("a request that must start earlier waits no longer than that", func(t *testing.T) {
+		is := is.New(t)
+		q := newQueue()
+		startBy := baseTime.Add(150 * time.Millisecond)
+		decision := q.Restrict(baseTime, lowered(2, time.Hour).WithStartBy(startBy))
+		assertResult(t, decision, AdmissionWait)
+		is.Equal(decision.WaitUntil(), startBy)
+		assertResult(t, q.Restrict(baseTime, lowered(3, time.Hour).WithStartBy(startBy)), AdmissionRefuse)
+	})
+	t.Run("a request that arrives after its latest start is refused", func(t *testing.T) {
+		q := newQueue()
+		assertResult(t, q.Arrive(baseTime, lowered(4, time.Hour).WithStartBy(baseTime.Add(-time.Second))), AdmissionRefuse)
+	})
 	t.Run("a later time changes nothing", func(t *testing.T) {
 		q := newQueue()
-		before := q.LowerDeadline(baseTime, lowered(2, time.Hour))
+		before := q.Restrict(baseTime, lowered(2, time.Hour))
 		assertResult(t, before, AdmissionWait)
-		is.New(t).Equal(q.LowerDeadline(baseTime, lowered(2, 2*time.Hour)).WaitUntil(), before.WaitUntil())
+		is.New(t).Equal(q.Restrict(baseTime, lowered(2, 2*time.Hour)).WaitUntil(), before.WaitUntil())
 	})
 	t.Run("a request that runs stays", func(t *testing.T) {
 		q := newQueue()
-		assertResult(t, q.LowerDeadline(baseTime, lowered(1, 0)), AdmissionRun)
+		assertResult(t, q.Restrict(baseTime, lowered(1, 0)), AdmissionRun)
 		assertStarted(t, q.Finish(baseTime, 1, true), 2)
 	})
 	t.Run("without a time the deadline stays", func(t *testing.T) {
--- a/basillift/blforwarder/acceptedrequests.go
+++ b/basillift/blforwarder/acceptedrequests.go
@@ -9,27 +9,51 @@
 )
 
 // acceptedRequest is a request at the target's daemon, from its arrival to its answer. Until it is sent to the target it may
-// wait in several places: behind other suspects, for the VM's link, for a slot. Each place watches the time by which the answer
-// is needed, and refuses the request once it can't be answered by then.
+// wait in several places: behind other suspects, for the VM's link, for a slot. Each place watches the limits of the request,
+// and refuses it once it can't keep them.
 type acceptedRequest struct {
 	id       string
+	instance string
 	mutex    sync.Mutex
-	answerBy time.Time
-	// changed is closed when answerBy changes; nil if nothing waits for that.
+	limits   waitLimits
+	// changed is closed when the limits change; nil if nothing waits for that.
 	changed chan struct{}
 }
 
-// limit returns the earlier one of a deadline and the time by which the answer is needed.
-func (a *acceptedRequest) limit(deadline time.Time) time.Time {
+// waitLimits bound the wait of a request besides its own deadlines. A zero time is no limit.
+type waitLimits struct {
+	// startBy is when a target that is leaving must not get requests any more.
+	startBy time.Time
+	// answerBy is when a daemon that is stopping needs the answer.
+	answerBy time.Time
+}
+
+// lower returns the earlier limits of both.
+func (l waitLimits) lower(other waitLimits) waitLimits {
+	return waitLimits{startBy: earlier(l.startBy, other.startBy), answerBy: earlier(l.answerBy, other.answerBy)}
+}
+
+// earlier returns the earlier one of two times. A zero time is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (a *acceptedRequest) currentLimits() waitLimits {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.answerBy.IsZero() || deadline.Before(a.answerBy) {
-		return deadline
-	}
-	return a.answerBy
+	return a.limits
 }
 
-// changes returns a channel that is closed when the answer is needed earlier.
+// latestStart returns the latest start by a deadline and the limits. serviceTime is how long the target runs the request.
+func (a *acceptedRequest) latestStart(deadline time.Time, serviceTime time.Duration) time.Time {
+	limits := a.currentLimits()
+	return earlier(earlier(deadline, limits.answerBy).Add(-serviceTime), limits.startBy)
+}
+
+// changes returns a channel that is closed when the limits change.
 func (a *acceptedRequest) changes() <-chan struct{} {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -39,43 +63,46 @@
 	return a.changed
 }
 
-// lowerAnswerBy sets the time by which the answer is needed, unless it is needed earlier already. The zero time changes nothing.
-func (a *acceptedRequest) lowerAnswerBy(t time.Time) {
+// lower applies limits that are earlier than those of the request.
+func (a *acceptedRequest) lower(limits waitLimits) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if t.IsZero() || !a.answerBy.IsZero() && !t.Before(a.answerBy) {
+	lowered := a.limits.lower(limits)
+	if lowered == a.limits {
 		return
 	}
-	a.answerBy = t
+	a.limits = lowered
 	if a.changed != nil {
 		close(a.changed)
 		a.changed = nil
 	}
 }
 
-// slotRequest returns a function that asks a queue for a slot, by the time by which the answer is needed then.
+// slotRequest returns a function that asks a queue for a slot, by the limits at that time.
 func (a *acceptedRequest) slotRequest(meta requestMetadata) func(id uint64) bladmit.SlotRequest {
-	return func(id uint64) bladmit.SlotRequest { return meta.slotRequest(id).WithAnswerBy(a.limit(meta.deadline)) }
+	return func(id uint64) bladmit.SlotRequest {
+		limits := a.currentLimits()
+		return meta.slotRequest(id).WithAnswerBy(limits.answerBy).WithStartBy(limits.startBy)
+	}
 }
 
 // acceptedRequests holds the requests at this daemon's target side.
 type acceptedRequests struct {
 	mutex    sync.Mutex
 	requests map[*acceptedRequest]struct{}
-	// answerBy is when this daemon, which is stopping, ends all requests; zero if it is not stopping.
-	answerBy time.Time
+	// limits are those of all requests: this daemon is stopping.
+	limits waitLimits
 }
 
 func newAcceptedRequests() *acceptedRequests {
 	return &acceptedRequests{requests: make(map[*acceptedRequest]struct{})}
 }
 
-// add records a request whose answer is needed by a time; zero if only its deadline matters. remove must follow.
-func (as *acceptedRequests) add(id string, answerBy time.Time) *acceptedRequest {
-	a := &acceptedRequest{id: id, answerBy: answerBy}
+// add records a request to an instance, with its limits. remove must follow.
+func (as *acceptedRequests) add(id, instance string, limits waitLimits) *acceptedRequest {
 	as.mutex.Lock()
 	defer as.mutex.Unlock()
-	a.lowerAnswerBy(as.answerBy)
+	a := &acceptedRequest{id: id, instance: instance, limits: limits.lower(as.limits)}
 	as.requests[a] = struct{}{}
 	return a
 }
@@ -86,19 +113,27 @@
 	delete(as.requests, a)
 }
 
-// lowerAll sets the time by which this daemon has to answer all requests, also those that arrive later.
-func (as *acceptedRequests) lowerAll(answerBy time.Time) {
+// stop sets the time by which this daemon has to answer all requests, also those that arrive later.
+func (as *acceptedRequests) stop(answerBy time.Time) {
+	as.mutex.Lock()
+	defer as.mutex.Unlock()
+	as.limits = as.limits.lower(waitLimits{answerBy: answerBy})
+	for a := range as.requests {
+		a.lower(as.limits)
+	}
+}
+
+// lowerInstances applies to each request the limits of the instance that it is for.
+func (as *acceptedRequests) lowerInstances(limitsOf func(instance string) waitLimits) {
 	as.mutex.Lock()
 	defer as.mutex.Unlock()
-	as.answerBy = answerBy
 	for a := range as.requests {
-		a.lowerAnswerBy(answerBy)
+		a.lower(limitsOf(a.instance))
 	}
 }
 
-// lower sets the time by which the answers to the requests with these ids are needed. It returns the ids that no request here
-// has.
-func (as *acceptedRequests) lower(ids []string, answerBy time.Time) (missing []string) {
+// lower applies limits to the requests with these ids. It returns the ids that no request here has.
+func (as *acceptedRequests) lower(ids []string, limits waitLimits) (missing []string) {
 	as.mutex.Lock()
 	defer as.mutex.Unlock()
 	known := make(map[string]bool, len(ids))
@@ -107,7 +142,7 @@
 	}
 	for a := range as.requests {
 		if _, named := known[a.id]; named {
-			a.lowerAnswerBy(answerBy)
+			a.lower(limits)
 			known[a.id] = true
 		}
 	}
--- a/basillift/blforwarder/advisories.go
+++ b/basillift/blforwarder/advisories.go
@@ -49,6 +49,9 @@
 	changed, left := f.advisories.Observe(now, e, advisory)
 	f.applyRequestLimit(now, e)
 	f.admission.setLimitKnown(now)
+	if left {
+		f.accepted.lowerInstances(f.leavingLimits)
+	}
 	if left && f.log != nil {
 		f.log.Event(bllog.TargetLeaving()).Str("instance", e.Instance()).Send()
 	}
@@ -65,6 +68,9 @@
 		e := f.ownTarget(meta.instance)
 		f.advisories.ObserveReport(now, e, meta.advisory)
 		f.applyRequestLimit(now, e)
+		if meta.advisory.Leaving() {
+			f.accepted.lowerInstances(f.leavingLimits)
+		}
 		if _, limited := meta.advisory.RequestLimit(); limited {
 			f.admission.setLimitKnown(now)
 		}
@@ -86,3 +92,12 @@
 	}
 	return since, !since.IsZero()
 }
+
+// leavingLimits returns the limits of requests to an instance of the VM's own target that may be leaving.
+func (f *Forwarder) leavingLimits(instance string) waitLimits {
+	since, leaving := f.ownTargetLeaving(instance)
+	if !leaving {
+		return waitLimits{}
+	}
+	return waitLimits{startBy: since.Add(time.Duration(f.drainPeriod.Load()) - drainMargin)}
+}
--- a/basillift/blforwarder/answerdeadlines.go
+++ b/basillift/blforwarder/answerdeadlines.go
@@ -154,7 +154,7 @@
 	if !valid || !r.buffered() {
 		return rejectedAnswer(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
-	missing := t.forwarder.accepted.lower(strings.Split(string(r.body), "\n"), answerBy)
+	missing := t.forwarder.accepted.lower(strings.Split(string(r.body), "\n"), waitLimits{answerBy: answerBy})
 	return &answer{status: http.StatusOK, outcome: basillift.OutcomeDone, body: []byte(strings.Join(missing, "\n"))}
 }
 
--- a/basillift/blforwarder/drain.go
+++ b/basillift/blforwarder/drain.go
@@ -35,7 +35,7 @@
 	f.meshServer.drain(false)
 	if end, limited := ctx.Deadline(); limited {
 		answerBy := end.Add(-answerByMargin)
-		f.accepted.lowerAll(answerBy)
+		f.accepted.stop(answerBy)
 		f.answerDeadlines.stop(answerBy)
 		f.tasks.Go(func() { f.answerDeadlines.loop(ctx) })
 	}
--- a/basillift/blforwarder/drain_test.go
+++ b/basillift/blforwarder/drain_test.go
@@ -27,6 +27,7 @@
 type fullMesh struct {
 	*mesh
 	target  *fakeTarget
+	targets []*fakeTarget
 	release chan struct{}
 }
 
@@ -40,6 +41,7 @@
 	})
 	targets := []*fakeTarget{startTarget(t, answerOK), startTarget(t, answerOK)}
 	targets[targetDaemon] = m.target
+	m.targets = targets
 	m.mesh = startMesh(t, targets...)
 	m.fleet.Apply(time.Now(), removalOf(fmt.Sprintf("t%d", 1-targetDaemon), 9))
 	m.publish(t, 2, hangGuard)
@@ -206,17 +208,25 @@
 	t.Run("accepted requests", func(t *testing.T) {
 		is := is.New(t)
 		as := newAcceptedRequests()
-		named, other := as.add("a", time.Time{}), as.add("b", time.Time{})
+		named, other := as.add("a", "i", waitLimits{}), as.add("b", "j", waitLimits{})
 		changed := named.changes()
-		is.Equal(as.lower([]string{"a", "c"}, now), []string{"c"})
+		is.Equal(as.lower([]string{"a", "c"}, waitLimits{answerBy: now}), []string{"c"})
 		<-changed
-		is.Equal(named.limit(now.Add(time.Second)), now)
-		is.Equal(named.limit(now.Add(-time.Second)), now.Add(-time.Second))
-		is.Equal(other.limit(now.Add(time.Second)), now.Add(time.Second))
-		as.lowerAll(now.Add(time.Second))
-		is.Equal(named.limit(now.Add(time.Hour)), now)
-		is.Equal(other.limit(now.Add(time.Hour)), now.Add(time.Second))
-		is.Equal(as.add("d", time.Time{}).limit(now.Add(time.Hour)), now.Add(time.Second))
+		is.Equal(named.latestStart(now.Add(time.Second), 0), now)
+		is.Equal(named.latestStart(now.Add(-time.Second), 0), now.Add(-time.Second))
+		is.Equal(other.latestStart(now.Add(time.Second), 0), now.Add(time.Second))
+		as.stop(now.Add(time.Second))
+		is.Equal(named.latestStart(now.Add(time.Hour), 0), now)
+		is.Equal(other.latestStart(now.Add(time.Hour), 0), now.Add(time.Second))
+		is.Equal(as.add("d", "i", waitLimits{}).latestStart(now.Add(time.Hour), 0), now.Add(time.Second))
+		as.lowerInstances(func(instance string) waitLimits {
+			if instance == "i" {
+				return waitLimits{}
+			}
+			return waitLimits{startBy: now.Add(-time.Minute)}
+		})
+		is.Equal(named.latestStart(now.Add(time.Hour), 0), now)
+		is.Equal(other.latestStart(now.Add(time.Hour), 0), now.Add(-time.Minute))
 	})
 	t.Run("a suspect that waits for another one", func(t *testing.T) {
 		q := newQuarantine(func() []blquarantine.Fingerprint { return nil })
@@ -228,7 +238,7 @@
 		for q.countWaiting(0) == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		second.accepted.lowerAnswerBy(now)
+		second.accepted.lower(waitLimits{answerBy: now})
 		is.New(t).Equal((<-entered).reason, basillift.ReasonOverload)
 	})
 	t.Run("header", func(t *testing.T) {
@@ -247,3 +257,39 @@
 		})
 	}
 }
+
+// Guards against requests that wait for a slot of a target and are sent to it after its drain period (DRAIN): it ends, and cuts
+// them. They have not run, so another target can serve them.
+func TestLeavingTargetGetsNoWaitingRequests(t *testing.T) {
+	assertServedElsewhere := func(t *testing.T, leave func(m *fullMesh, now time.Time)) {
+		t.Helper()
+		m := startFullMesh(t, 1)
+		c := m.sendWaiting(t, 0, 1)
+		now := time.Now()
+		e := basillift.NewEndpoint("i0", "catalogue", m.targets[0].address, "a", 4, basillift.TargetReady).WithDaemon(m.daemonAddresses[0])
+		m.fleet.Apply(now, basillift.NewRegistryEntry("t0", 20).WithEndpoint(e))
+		leave(m, now)
+		released := time.AfterFunc(m.forwarders[1].settings.drainPeriod, func() { close(m.release) })
+		c.assertAnswer(http.StatusOK, "/post/x x")
+		is.New(t).Equal(m.target.count("waiting"), 0)
+		if released.Stop() {
+			close(m.release)
+		}
+	}
+	t.Run("by the registry", func(t *testing.T) {
+		assertServedElsewhere(t, func(m *fullMesh, now time.Time) {
+			m.fleet.Apply(now, removalOf("t1", 21))
+			m.forwarders[1].TargetsChanged(now)
+		})
+	})
+	t.Run("by its own answer", func(t *testing.T) {
+		assertServedElsewhere(t, func(m *fullMesh, now time.Time) {
+			m.forwarders[1].observeOwnAnswer(now, "i1", &answer{fields: []field{{"X-Leaving", "1"}}})
+		})
+	})
+	t.Run("unnoticed until its slot is free", func(t *testing.T) {
+		assertServedElsewhere(t, func(m *fullMesh, now time.Time) {
+			m.fleet.Apply(now.Add(-m.forwarders[1].settings.drainPeriod), removalOf("t1", 21))
+		})
+	})
+}
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -196,6 +196,7 @@
 		}
 		f.applyRequestLimit(now, e)
 	}
+	f.accepted.lowerInstances(f.leavingLimits)
 	if t := f.tables.Current(); t != nil {
 		f.splitter.Retain(t)
 	}
--- a/basillift/blforwarder/quarantine.go
+++ b/basillift/blforwarder/quarantine.go
@@ -73,8 +73,8 @@
 	timer := time.NewTimer(latest.Sub(now))
 	defer timer.Stop()
 	for {
-		deadlineChanged := run.accepted.changes()
-		latest = run.accepted.limit(latest.Add(serviceTime)).Add(-serviceTime)
+		limitsChanged := run.accepted.changes()
+		latest = run.accepted.latestStart(latest.Add(serviceTime), serviceTime)
 		if now.Add(expectedWait).After(latest) {
 			return notRunAnswer(basillift.ReasonOverload, expectedWait)
 		}
@@ -85,7 +85,7 @@
 		}
 		select {
 		case <-changed:
-		case <-deadlineChanged:
+		case <-limitsChanged:
 		case <-timer.C:
 			return notRunAnswer(basillift.ReasonOverload, 0)
 		case <-ctx.Done():
--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -33,8 +33,8 @@
 	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan bool), requestLimit: noRequestLimit}
 }
 
-// acquire waits for a slot. It returns the slot's id, or the refusal. slotRequest is called again when the answer to the
-// accepted request is needed earlier.
+// acquire waits for a slot. It returns the slot's id, or the refusal. slotRequest is called again when the accepted
+// request has to start or to be answered earlier.
 func (sq *slotQueue) acquire(ctx context.Context, now time.Time, accepted *acceptedRequest, slotRequest func(id uint64) bladmit.SlotRequest) (id uint64, refusal *answer) {
 	changed := accepted.changes()
 	id, decision, ended := sq.enqueue(now, slotRequest)
@@ -56,7 +56,7 @@
 		case <-changed:
 			changed = accepted.changes()
 			now = time.Now()
-			if waitUntil, waits := sq.lowerDeadline(now, slotRequest(id)); waits {
+			if waitUntil, waits := sq.restrict(now, slotRequest(id)); waits {
 				timer.Reset(waitUntil.Sub(now))
 			}
 		case <-timer.C:
@@ -73,12 +73,12 @@
 	}
 }
 
-// lowerDeadline lowers the deadline of a waiting request. It returns until when the request waits; false if its wait has
+// restrict applies the earlier times of a waiting request. It returns until when the request waits; false if its wait has
 // ended.
-func (sq *slotQueue) lowerDeadline(now time.Time, r bladmit.SlotRequest) (waitUntil time.Time, waits bool) {
+func (sq *slotQueue) restrict(now time.Time, r bladmit.SlotRequest) (waitUntil time.Time, waits bool) {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	decision := sq.queue.LowerDeadline(now, r)
+	decision := sq.queue.Restrict(now, r)
 	if decision.Result() == bladmit.AdmissionRefuse {
 		sq.endWait(r.ID(), false)
 	}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -113,7 +113,7 @@
 // run admits a request and sends it to the target. The answer carries the target's load report.
 func (t *targetSide) run(ctx context.Context, r *request, meta requestMetadata) *answer {
 	meta.callerService = r.header(t.forwarder.settings.headerNames.Caller())
-	accepted := t.forwarder.accepted.add(r.header(t.forwarder.settings.headerNames.RequestID()), meta.answerBy)
+	accepted := t.accept(r, meta)
 	defer t.forwarder.accepted.remove(accepted)
 	run := newTargetRun(r, accepted)
 	a := t.admit(ctx, r, run, meta)
@@ -125,6 +125,13 @@
 	return a
 }
 
+// accept records a request until it is answered.
+func (t *targetSide) accept(r *request, meta requestMetadata) *acceptedRequest {
+	f := t.forwarder
+	limits := f.leavingLimits(meta.instance).lower(waitLimits{answerBy: meta.answerBy})
+	return f.accepted.add(r.header(f.settings.headerNames.RequestID()), meta.instance, limits)
+}
+
 func (t *targetSide) admit(ctx context.Context, r *request, run *targetRun, meta requestMetadata) *answer {
 	f := t.forwarder
 	now := time.Now()
@@ -142,13 +149,17 @@
 	id, refusal := f.admission.acquire(ctx, now, run.accepted, meta)
 	if refusal != nil {
 		refusal.nestedCall = meta.nestedCall
-		if f.stopping.Load() && refusal.reason == basillift.ReasonOverload {
-			// This daemon serves no requests soon, whatever the queue expects.
+		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
+			// This daemon or its target serves no requests soon, whatever the queue expects.
 			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
 		}
 		return refusal
 	}
 	started := time.Now()
+	if refusal = t.checkTarget(started, meta); refusal != nil {
+		f.admission.release(started, id, false)
+		return refusal
+	}
 	// The request may have become a suspect while it waited for the slot.
 	if refusal, wait := f.quarantine.tryEnter(started, run); refusal != nil || wait != nil {
 		f.admission.release(started, id, false)
@@ -180,7 +191,14 @@
 	if f.refusesRequests.Load() {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
-	if since, leaving := f.ownTargetLeaving(meta.instance); leaving && now.Sub(since) > time.Duration(f.drainPeriod.Load())-drainMargin {
+	return t.checkTarget(now, meta)
+}
+
+// checkTarget returns a refusal if the target must not get a request, and nil otherwise. It is called when a request arrives
+// and again just before it is sent.
+func (t *targetSide) checkTarget(now time.Time, meta requestMetadata) (refusal *answer) {
+	f := t.forwarder
+	if startBy := f.leavingLimits(meta.instance).startBy; !startBy.IsZero() && now.After(startBy) {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
 	if f.admission.isMisdirected(now, meta.instance) {
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -35,8 +35,8 @@
 func (tq *transferQueue) reserveTransfer(ctx context.Context, now time.Time, accepted *acceptedRequest, meta requestMetadata, serviceTime time.Duration) (refusal *answer) {
 	slotRequest := func(id uint64) bladmit.SlotRequest {
 		transfer := meta
-		transfer.softDeadline, transfer.deadline = meta.softDeadline.Add(-serviceTime), accepted.limit(meta.deadline).Add(-serviceTime)
-		return transfer.slotRequest(id)
+		transfer.softDeadline, transfer.deadline = meta.softDeadline.Add(-serviceTime), meta.deadline.Add(-serviceTime)
+		return transfer.slotRequest(id).WithStartBy(accepted.latestStart(meta.deadline, serviceTime))
 	}
 	return tq.reserve(ctx, now, accepted, slotRequest)
 }
@@ -72,7 +72,7 @@
 	now := time.Now()
 	meta.callerService = r.header(f.settings.headerNames.Caller())
 	refusal := t.checkAvailable(now, meta)
-	accepted := f.accepted.add(r.header(f.settings.headerNames.RequestID()), meta.answerBy)
+	accepted := t.accept(r, meta)
 	defer f.accepted.remove(accepted)
 	switch {
 	case refusal != nil:
