blforwarder: a caller that leaves behind a large body is noticed (GONE)

Cause: a session notices a disconnect by reading, and does not read while a large body belongs to a request or its pipeline is full, at both daemons. Besides, the end of a connection is visible only behind the bytes before it.

--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -306,6 +306,9 @@
 		a := f.targetSide.run(ctx, c.localRequest(rr.request), rr.metadata)
 		return a, attemptResult(a)
 	}
+	if ctx.Err() != nil {
+		return notRunAnswer(canceledReason(ctx), 0), blretry.AttemptRefused
+	}
 	remote, answerBy := f.answerDeadlines.start(rr.request.header(f.settings.headerNames.RequestID()), t.Endpoint().Daemon())
 	defer f.answerDeadlines.end(remote)
 	rr.metadata.answerBy = answerBy
--- a/basillift/blforwarder/drain_test.go
+++ b/basillift/blforwarder/drain_test.go
@@ -44,10 +44,10 @@
 	m.targets = targets
 	m.mesh = startMesh(t, targets...)
 	m.fleet.Apply(time.Now(), removalOf(fmt.Sprintf("t%d", 1-targetDaemon), 9))
-	m.publish(t, 2, hangGuard)
+	m.publish(t, 2, 10*hangGuard)
 	for i := range defaultSlots {
 		id := fmt.Sprintf("held%d", i)
-		m.dial(t, 1).send(withoutTimeLimit(post(id, "x")))
+		m.dial(t, 1).send(withoutDeadline(post(id, "x")))
 		for m.target.count(id) == 0 {
 			time.Sleep(time.Millisecond)
 		}
@@ -59,7 +59,7 @@
 func (m *fullMesh) sendWaiting(t *testing.T, daemon, targetDaemon int) *caller {
 	t.Helper()
 	c := m.dial(t, daemon)
-	c.send(withoutTimeLimit(post("waiting", "x")))
+	c.send(withoutDeadline(post("waiting", "x")))
 	for m.forwarders[targetDaemon].admission.load().Queued() == 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -83,7 +83,7 @@
 		c.assertAnswer(http.StatusServiceUnavailable, "")
 		close(m.release)
 		last := m.dial(t, 1)
-		last.send(withoutTimeLimit(post("last", "x")))
+		last.send(withoutDeadline(post("last", "x")))
 		last.read()
 		is.New(t).Equal(m.target.count("waiting"), 0)
 	}
--- a/basillift/blforwarder/endlessanswer_test.go
+++ b/basillift/blforwarder/endlessanswer_test.go
@@ -35,12 +35,13 @@
 	chunkedHeader = okHeader + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
+// assertClosed checks that the daemon closes its connection to a target.
 func assertClosed(t *testing.T, closed <-chan struct{}) {
 	t.Helper()
 	select {
 	case <-closed:
 	case <-time.After(hangGuard):
-		t.Fatal("the daemon still reads the endless answer")
+		t.Fatal("the daemon still keeps the connection to the target")
 	}
 }
 
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -60,8 +60,7 @@
 func (s *sender) run() {
 	defer close(s.done)
 	s.err = s.exchange.write()
-	if s.err != nil && s.exchange.request.stream != nil && s.exchange.request.stream.err != nil &&
-		!errors.Is(s.exchange.request.stream.err, io.EOF) {
+	if s.err != nil && s.exchange.request.stream != nil && s.exchange.request.stream.broken() {
 		// The receiver must not take the truncated body for a complete one.
 		_ = s.exchange.conn.Close()
 	}
@@ -216,6 +215,8 @@
 		default:
 			reusable = false
 			_ = e.conn.SetDeadline(time.Unix(1, 0))
+			// A peer that has not read the whole request would see the end of the connection only behind it.
+			e.conn.ResetOnClose()
 		}
 	}
 	if reusable && !canceled && !e.readStaleAnswer && e.conn.Reader().Buffered() == 0 {
@@ -227,7 +228,7 @@
 		return
 	}
 	if e.request.stream != nil {
-		e.request.stream.interrupt()
+		e.request.stream.stop()
 	}
 	// The sender must not read from the caller's connection after finish returns.
 	<-e.sender.done
--- a/basillift/blforwarder/request.go
+++ b/basillift/blforwarder/request.go
@@ -41,33 +41,6 @@
 	memory *bodyMemory
 }
 
-// requestStream is the part of a large body that has not yet been read from the connection.
-type requestStream struct {
-	reader io.Reader
-	done   chan struct{}
-	// interrupt ends a pending read from the connection.
-	interrupt func()
-	err       error
-	ended     bool
-}
-
-// end signals to the session that nothing more of the body is read.
-func (r *requestStream) end() {
-	if r != nil && !r.ended {
-		r.ended = true
-		close(r.done)
-	}
-}
-
-// Read implements io.Reader. It keeps the error that ended the body.
-func (r *requestStream) Read(p []byte) (int, error) {
-	n, err := r.reader.Read(p)
-	if err != nil {
-		r.err = err
-	}
-	return n, err //nolint:wrapcheck // io.EOF must stay as it is
-}
-
 // buffered reports whether the whole body is in memory, so that the request can be sent again.
 func (r *request) buffered() bool { return r.stream == nil }
 
@@ -140,7 +113,7 @@
 		return fmt.Errorf("read request body: %w", err)
 	}
 	if more {
-		r.stream = &requestStream{reader: &maxBytesReader{source: source, left: limit - len(body)}, done: make(chan struct{})}
+		r.stream = newRequestStream(&maxBytesReader{source: source, left: limit - len(body)}, r.memory)
 	}
 	return nil
 }
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -21,6 +22,10 @@
 // their answer.
 const discardTimeout = time.Second
 
+// disconnectCheckInterval is how often a session checks whether the peer has disconnected while it does not read. Callers expect
+// that their requests end within half a second, at the end of a chain of two daemons.
+const disconnectCheckInterval = 100 * time.Millisecond
+
 // finalReadTimeout is how long an idle session that a stop closes waits for a request that the peer may have sent.
 const finalReadTimeout = 100 * time.Millisecond
 
@@ -118,6 +123,9 @@
 		if !ready {
 			return disconnected
 		}
+		if ctx.Err() != nil {
+			return true
+		}
 		now := time.Now()
 		limits := s.handler.connLimits()
 		_ = s.conn.SetReadDeadline(now.Add(limits.headerTimeout))
@@ -138,7 +146,8 @@
 			return true
 		}
 		if r.stream != nil {
-			r.stream.interrupt = s.interruptRead
+			r.stream.interruptRead = s.interruptRead
+			go r.stream.loop()
 		}
 		if !s.startRequest(ctx, r) {
 			return false
@@ -214,12 +223,12 @@
 	last := r.close || s.closing
 	s.mutex.Unlock()
 	p := &pipelinedRequest{request: r, answer: make(chan *answer, 1), lastOnConn: last}
-	s.pipeline <- p
+	s.enqueueAnswer(p)
 	go s.serve(ctx, p)
 	if r.stream != nil {
 		// The next request follows the rest of this body on the connection.
-		<-r.stream.done
-		if r.stream.err == nil || !errors.Is(r.stream.err, io.EOF) {
+		s.awaitStreamEnd(r.stream)
+		if !r.stream.complete() {
 			s.bodyUnread = true
 			return false
 		}
@@ -227,11 +236,60 @@
 	return !last
 }
 
+// enqueueAnswer lets the answer to a request be written after those to the earlier ones. While too many are pending, nothing reads
+// the connection, so it watches for a disconnect.
+func (s *session) enqueueAnswer(p *pipelinedRequest) {
+	select {
+	case s.pipeline <- p:
+		return
+	default:
+	}
+	ticker := time.NewTicker(disconnectCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s.pipeline <- p:
+			return
+		case <-ticker.C:
+			s.cancelIfDisconnected()
+		}
+	}
+}
+
+// awaitStreamEnd waits until nothing more of a large body is read. The next request follows it, so a disconnect is not noticed by
+// reading.
+func (s *session) awaitStreamEnd(stream *requestStream) {
+	ticker := time.NewTicker(disconnectCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stream.done:
+			<-stream.ended
+			return
+		case <-ticker.C:
+			s.cancelIfDisconnected()
+		}
+	}
+}
+
+// cancelIfDisconnected cancels the requests of the session if the peer has closed the connection. Unlike a read it notices that
+// behind bytes that are not read yet.
+func (s *session) cancelIfDisconnected() {
+	c, ok := s.conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	closed, err := blpool.PeerClosed(c)
+	if err != nil || closed {
+		s.cancel()
+	}
+}
+
 func (s *session) serve(ctx context.Context, p *pipelinedRequest) {
 	a := s.handler.serve(ctx, p.request)
 	if p.request.stream != nil {
 		// A connection with a partly read body cannot carry another request.
-		if !errors.Is(p.request.stream.err, io.EOF) {
+		if !p.request.stream.complete() {
 			a.close = true
 		}
 		p.request.stream.end()
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -142,6 +142,13 @@
 // ShortenIdle lowers the maximum idle time to the one that the server announced. It never raises it.
 func (c *Conn) ShortenIdle(d time.Duration) { c.maxIdle = min(c.maxIdle, d) }
 
+// ResetOnClose makes Close discard what the peer has not received yet and reset the connection.
+func (c *Conn) ResetOnClose() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
 // Usable reports whether an idle connection is still open and has no unread bytes. Bytes that arrive without a request
 // would be read as the answer to the next one. The caller owns the connection, so the descriptor is not closed
 // concurrently.
@@ -154,6 +161,24 @@
 	return n == 0 && err == nil
 }
 
+// PeerClosed reports whether the peer has closed the connection, even if there are unread bytes.
+func PeerClosed(c syscall.Conn) (bool, error) {
+	rc, err := c.SyscallConn()
+	if err != nil {
+		return false, fmt.Errorf("get file descriptor: %w", err)
+	}
+	closed := false
+	err = rc.Control(func(fd uintptr) {
+		pollFDs := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(pollFDs[:], 0)
+		closed = n > 0 && pollErr == nil
+	})
+	if err != nil {
+		return false, fmt.Errorf("poll connection: %w", err)
+	}
+	return closed, nil
+}
+
 // Reused reports whether the current call is not the first one on the connection.
 func (c *Conn) Reused() bool { return c.calls > 1 }
 
