blforwarder: an interim answer waits for the answers before it (MIXED)

Cause: the goroutine that reads requests wrote the interim answer straight to the connection, while the one that writes answers was at work there. Change: the interim answer is an entry of the session's pipeline, written in its turn.

--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -174,6 +174,41 @@
 	}
 }
 
+// Guards against an interim answer that is written into the body of an earlier answer on the connection (MIXED).
+func TestInterimAnswerKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	whole, begun, release := strings.Repeat("a", 2<<20), make(chan struct{}), make(chan struct{})
+	f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+		if r.Method == http.MethodPost {
+			return answerOK(w, r, body)
+		}
+		half := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole[:1<<20])
+		if !writeAnswer(w, r, half) {
+			return false
+		}
+		close(begun)
+		<-release
+		return writeAnswer(w, r, whole[1<<20:])
+	})
+	m := startMesh(t, f)
+	m.publish(t, 2, hangGuard)
+	c := m.dial(t, 0)
+	c.send(withoutTimeLimit(get("1", "/get/x")))
+	<-begun
+	c.send(withoutTimeLimit(strings.Replace(post("2", ""), "Content-Length: 0\r\n", "Content-Length: 4\r\nExpect: 100-continue\r\n", 1)))
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	a := c.read()
+	is.NoErr(a.err)
+	is.True(a.body == whole)
+	interim, err := c.reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(interim, "HTTP/1.1 100 Continue\r\n")
+	_, err = c.reader.ReadString('\n')
+	is.NoErr(err)
+	c.send("body")
+	c.assertAnswer(http.StatusOK, "/post/x body")
+}
+
 // Guards against a target's failure that is replaced by the daemon's own error because the retry failed in another
 // way.
 func TestTargetFailureIsForwarded(t *testing.T) {
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -75,6 +76,8 @@
 	answer  chan *answer
 	// lastOnConn is set if no request is read after this one.
 	lastOnConn bool
+	// interim is set for an interim answer, which lets the peer send the body of the next request. It has no other fields.
+	interim bool
 }
 
 func newSession(conn net.Conn, h handler, owner *server) *session {
@@ -135,7 +138,7 @@
 		}
 		_ = s.conn.SetReadDeadline(time.Time{})
 		if r.expectsContinue && r.size != 0 {
-			_, _ = io.WriteString(s.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			s.enqueueAnswer(&pipelinedRequest{interim: true})
 		}
 		r.memory = s.handler.newBodyMemory()
 		if err = r.readBody(s.reader, limits.bodyBytes); err != nil {
@@ -330,6 +333,13 @@
 	w := bufio.NewWriterSize(s.conn, 4<<10)
 	broken := false
 	for p := range s.pipeline {
+		if p.interim {
+			if !broken && writeInterim(w) != nil {
+				broken = true
+				s.abort(true)
+			}
+			continue
+		}
 		a := <-p.answer
 		if broken {
 			a.discard()
@@ -349,6 +359,14 @@
 	}
 }
 
+func writeInterim(w *bufio.Writer) error {
+	_, _ = w.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write interim answer: %w", err)
+	}
+	return nil
+}
+
 // closesAfterAnswer reports whether the session closes after the answer that is written next, and then marks it as
 // closed.
 func (s *session) closesAfterAnswer() bool {
