--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -5,12 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blbalance"
 	"basillift.dev/basillift/blfleet"
@@ -224,17 +221,6 @@
 	return notRunAnswer(basillift.ReasonDeadline, defaultRetryAfter)
 }
 
-// errStopping is the cause of the end of a context of requests that a stop ends.
-var errStopping = eris.New("the daemon is stopping")
-
-// canceledReason returns why the context of a request was canceled.
-func canceledReason(ctx context.Context) basillift.Reason {
-	if errors.Is(context.Cause(ctx), errStopping) {
-		return basillift.ReasonDraining
-	}
-	return basillift.ReasonCallerGone
-}
-
 // attempt chooses a target, sends the request to it and records the result.
 func (c *callerSide) attempt(ctx context.Context, rr *routedRequest) (*answer, blretry.AttemptResult) {
 	f := c.forwarder
@@ -378,44 +364,6 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// localRequest returns a copy of the request as targetSide expects it.
-func (c *callerSide) localRequest(r *request) *request {
-	local := *r
-	local.fields = append([]field(nil), r.fields...)
-	local.fields = c.replaceCaller(local.fields)
-	return &local
-}
-
-// replaceCaller replaces the service name in the caller's header by that of the VM.
-func (c *callerSide) replaceCaller(fields []field) []field {
-	name := c.forwarder.settings.headerNames.Caller()
-	kept := fields[:0]
-	for _, f := range fields {
-		if !strings.EqualFold(f.name, name) {
-			kept = append(kept, f)
-		}
-	}
-	return append(kept, field{name, c.forwarder.settings.service})
-}
-
-// requestHeader returns the request line and the header fields for the target's daemon.
-func (c *callerSide) requestHeader(rr *routedRequest, now time.Time) []byte {
-	names := c.forwarder.settings.headerNames
-	b := appendRequestLine(nil, rr.request)
-	b = appendFields(b, rr.request, names.Caller(), names.Instance())
-	b = appendField(b, names.Caller(), c.forwarder.settings.service)
-	metadata := rr.metadata
-	metadata.newestRevision = c.forwarder.gossip.NewestRevision()
-	// The target's daemon gives up earlier by the transfer time, so that its own answer arrives before the deadline.
-	metadata.deadline = metadata.deadline.Add(-answerMargin)
-	b = appendField(b, headerHop, metadata.format(now))
-	b = metadata.appendAnswerBy(b, now)
-	if s, known := c.forwarder.quarantine.suspicion(now, rr.fingerprint); known {
-		b = appendField(b, headerSuspicion, formatSuspicion(now, s))
-	}
-	return append(b, "\r\n"...)
-}
-
 // parseInternalHeaders reads the outcome and the load report from the headers of another daemon's answer.
 func (a *answer) parseInternalHeaders() {
 	a.parseOutcome(a.header(headerHop))
--- a/basillift/blforwarder/drain.go
+++ b/basillift/blforwarder/drain.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"basillift.dev/basillift"
 )
 
 const (
@@ -81,3 +86,14 @@
 		}
 	}
 }
+
+// errStopping is the cause of the end of a context of requests that a stop ends.
+var errStopping = eris.New("the daemon is stopping")
+
+// canceledReason returns why the context of a request was canceled.
+func canceledReason(ctx context.Context) basillift.Reason {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return basillift.ReasonDraining
+	}
+	return basillift.ReasonCallerGone
+}
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,10 +22,6 @@
 // their answer.
 const discardTimeout = time.Second
 
-// disconnectCheckInterval is how often a session checks whether the peer has disconnected while it does not read. Callers expect
-// that their requests end within half a second, at the end of a chain of two daemons.
-const disconnectCheckInterval = 100 * time.Millisecond
-
 // finalReadTimeout is how long an idle session that a stop closes waits for a request that the peer may have sent.
 const finalReadTimeout = 100 * time.Millisecond
 
@@ -239,55 +234,6 @@
 	return !last
 }
 
-// enqueueAnswer lets the answer to a request be written after those to the earlier ones. While too many are pending, nothing reads
-// the connection, so it watches for a disconnect.
-func (s *session) enqueueAnswer(p *pipelinedRequest) {
-	select {
-	case s.pipeline <- p:
-		return
-	default:
-	}
-	ticker := time.NewTicker(disconnectCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case s.pipeline <- p:
-			return
-		case <-ticker.C:
-			s.cancelIfDisconnected()
-		}
-	}
-}
-
-// awaitStreamEnd waits until nothing more of a large body is read. The next request follows it, so a disconnect is not noticed by
-// reading.
-func (s *session) awaitStreamEnd(stream *requestStream) {
-	ticker := time.NewTicker(disconnectCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stream.done:
-			<-stream.ended
-			return
-		case <-ticker.C:
-			s.cancelIfDisconnected()
-		}
-	}
-}
-
-// cancelIfDisconnected cancels the requests of the session if the peer has closed the connection. Unlike a read it notices that
-// behind bytes that are not read yet.
-func (s *session) cancelIfDisconnected() {
-	c, ok := s.conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	closed, err := blpool.PeerClosed(c)
-	if err != nil || closed {
-		s.cancel()
-	}
-}
-
 func (s *session) serve(ctx context.Context, p *pipelinedRequest) {
 	a := s.handler.serve(ctx, p.request)
 	if p.request.stream != nil {
@@ -319,14 +265,6 @@
 	return false
 }
 
-// cancelOnDisconnect cancels the pending requests of a session when the peer disconnects after its last request.
-func (s *session) cancelOnDisconnect() {
-	_ = s.conn.SetReadDeadline(time.Time{})
-	if _, err := s.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		s.cancel()
-	}
-}
-
 // loop writes the answers in the order of the requests.
 func (s *session) loop(written chan<- struct{}) {
 	defer close(written)
