--- a/basillift/blforwarder/server.go
+++ b/basillift/blforwarder/server.go
@@ -62,7 +62,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if finalAccept || !s.extendBacklogDeadline(time.Now()) {
+			if finalAccept && !isReadable(s.listener) || !s.extendBacklogDeadline(time.Now()) {
 				s.closeListener()
 				return
 			}
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -186,11 +187,22 @@
 	return true
 }
 
-// startFinalRead reports whether an idle session has yet to look for a request that it has received before a stop closes it.
+// startFinalRead reports whether an idle session has yet to look for a request that it has received before a stop closes it. An
+// overloaded daemon may not have got to read it before the deadline.
 func (s *session) startFinalRead() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.refusing && !s.finalRead && !s.closed
+	return s.refusing && !s.closed && (!s.finalRead || isReadable(s.conn))
+}
+
+// isReadable reports whether a connection has unread bytes, or a listener has a connection to accept.
+func isReadable(socket any) bool {
+	c, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	readable, err := blpool.Readable(c)
+	return err == nil && readable
 }
 
 // countRequest counts a pending request. It returns false if the session takes no more requests. The request then stays
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -162,21 +162,28 @@
 }
 
 // PeerClosed reports whether the peer has closed the connection, even if there are unread bytes.
-func PeerClosed(c syscall.Conn) (bool, error) {
+func PeerClosed(c syscall.Conn) (bool, error) { return poll(c, unix.POLLRDHUP) }
+
+// Readable reports whether a connection has unread bytes or was closed by its peer, or whether a listener has a connection to
+// accept. Unlike a read with a short deadline it also tells that to a process that had no time to run before the deadline.
+func Readable(c syscall.Conn) (bool, error) { return poll(c, unix.POLLIN) }
+
+// poll reports whether one of the events is pending.
+func poll(c syscall.Conn, events int16) (bool, error) {
 	rc, err := c.SyscallConn()
 	if err != nil {
 		return false, fmt.Errorf("get file descriptor: %w", err)
 	}
-	closed := false
+	pending := false
 	err = rc.Control(func(fd uintptr) {
-		pollFDs := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		pollFDs := [1]unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, pollErr := unix.Poll(pollFDs[:], 0)
-		closed = n > 0 && pollErr == nil
+		pending = n > 0 && pollErr == nil
 	})
 	if err != nil {
-		return false, fmt.Errorf("poll connection: %w", err)
+		return false, fmt.Errorf("poll socket: %w", err)
 	}
-	return closed, nil
+	return pending, nil
 }
 
 // Reused reports whether the current call is not the first one on the connection.
