--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -53,12 +53,18 @@
 	vmCount          int
 	// domainByDaemon holds the failure domain of each target's daemon, by the daemon's address.
 	domainByDaemon map[string]basillift.FailureDomain
+	// evacuations holds the present evacuations by failure domain, and evacuatedByService the usable targets there.
+	evacuations        map[basillift.FailureDomain]Evacuation
+	evacuatedByService map[string][]*Target
+	// evacuationEnds holds when the evacuations ended that were removed within removedEntryTTL.
+	evacuationEnds map[basillift.FailureDomain]time.Time
 }
 
 // Fleet holds the entries of all targets. It is safe for concurrent use.
 type Fleet struct {
 	mutex       sync.Mutex
 	entries     map[string]*trackedEntry
+	evacuations evacuations
 	graceEnd    time.Time
 	recoveredAt time.Time
 	// era is the era of the registry in the last complete listing.
@@ -68,12 +74,13 @@
 
 // New returns a fleet without targets.
 func New() *Fleet {
-	f := &Fleet{entries: make(map[string]*trackedEntry)}
+	f := &Fleet{entries: make(map[string]*trackedEntry), evacuations: make(evacuations)}
 	f.current.Store(&snapshot{})
 	return f
 }
 
-// Targets returns the usable targets of a service, ordered by instance. The slice must not be modified.
+// Targets returns the usable targets of a service outside evacuated failure domains, ordered by instance. The slice must not be
+// modified.
 func (f *Fleet) Targets(service string) []*Target { return f.current.Load().targetsByService[service] }
 
 // VMCount is the number of addresses for which targets have entries, at least 1.
@@ -111,14 +118,20 @@
 func (f *Fleet) Apply(now time.Time, entry basillift.RegistryEntry) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	applied := f.apply(now, entry)
+	var applied bool
+	if f.evacuations.holds(entry) {
+		applied = f.evacuations.apply(now, entry)
+	} else {
+		applied = f.apply(now, entry)
+	}
 	f.updateSnapshot()
 	return applied
 }
 
 // Replace applies a complete listing at a revision. Entries that the listing lacks are removed. Just after an outage, and if the
 // registry has lost changes, those of targets that accept requests are kept until the end of recoveryGrace. It returns the
-// entries that hold now: where the listing has an entry from before one that is known, the known one.
+// entries that hold now: where the listing has an entry from before one that is known, the known one. An evacuation that the
+// listing lacks ends, unless the listing is older or the registry has lost changes.
 func (f *Fleet) Replace(now time.Time, revision basillift.Revision, entries []basillift.RegistryEntry) (current []basillift.RegistryEntry) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -127,8 +140,12 @@
 		possiblyLost, f.graceEnd = true, now.Add(recoveryGrace)
 	}
 	f.era = max(f.era, revision.Era())
+	current = f.evacuations.replace(now, revision, entries)
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
+		if f.evacuations.holds(entry) {
+			continue
+		}
 		listed[entry.Key()] = true
 		if f.apply(now, entry) {
 			current = append(current, entry)
@@ -145,11 +162,11 @@
 	return current
 }
 
-// Tick removes targets whose entries did not reappear within recoveryGrace, and forgets entries removed long ago.
+// Tick removes targets whose entries did not reappear within recoveryGrace, and forgets entries and evacuations removed long ago.
 func (f *Fleet) Tick(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	changed := false
+	changed := f.evacuations.forget(now)
 	for key, r := range f.entries {
 		switch {
 		case !r.removedAt.IsZero() && now.Sub(r.removedAt) > removedEntryTTL:
@@ -236,6 +253,7 @@
 // updateSnapshot replaces the current snapshot by one of the present entries.
 func (f *Fleet) updateSnapshot() {
 	s := &snapshot{targetsByService: make(map[string][]*Target), entryByAddress: make(map[string]*trackedEntry, len(f.entries)), domainByDaemon: make(map[string]basillift.FailureDomain)}
+	s.evacuations, s.evacuationEnds = f.evacuations.byDomain()
 	for _, r := range f.entries {
 		address := r.target.endpoint.Address()
 		if current := s.entryByAddress[address]; current == nil || r.supersedes(current) {
@@ -252,13 +270,35 @@
 			s.domainByDaemon[e.Daemon()] = e.Domain()
 		}
 		if e.State().AcceptsRequests() {
-			s.targetsByService[e.Service()] = append(s.targetsByService[e.Service()], r.target)
+			s.addTarget(r.target)
 		}
 	}
-	for _, targets := range s.targetsByService {
+	sortTargets(s.targetsByService)
+	sortTargets(s.evacuatedByService)
+	f.current.Store(s)
+}
+
+// addTarget adds a usable target.
+func (s *snapshot) addTarget(t *Target) {
+	service := t.endpoint.Service()
+	e, evacuated := s.evacuations[t.endpoint.Domain()]
+	if !evacuated {
+		s.targetsByService[service] = append(s.targetsByService[service], t)
+		return
+	}
+	if s.evacuatedByService == nil {
+		s.evacuatedByService = make(map[string][]*Target)
+	}
+	s.evacuatedByService[service] = append(s.evacuatedByService[service], t)
+	e.targetCount++
+	s.evacuations[e.domain] = e
+}
+
+// sortTargets orders the targets of each service by instance.
+func sortTargets(targetsByService map[string][]*Target) {
+	for _, targets := range targetsByService {
 		slices.SortFunc(targets, func(a, b *Target) int { return cmp.Compare(a.endpoint.Instance(), b.endpoint.Instance()) })
 	}
-	f.current.Store(s)
 }
 
 // supersedes decides which of two entries with the same address is used. A removed entry loses against any other, and
--- a/basillift/registry.go
+++ b/basillift/registry.go
@@ -5,18 +5,26 @@
 	"time"
 )
 
-// RegistryEntry is the content of one key of the registry: a routing table or a target's entry.
+// RegistryEntry is the content of one key of the registry: a routing table, a target's entry, or the evacuation of a failure
+// domain.
 type RegistryEntry struct {
 	revision    Revision
 	key         string
 	routingSpec *RoutingSpec
 	endpoint    *Endpoint
+	evacuation  *evacuationChange
 	invalid     error
 }
 
+// evacuationChange is the begin or the end of the evacuation of a failure domain.
+type evacuationChange struct {
+	domain FailureDomain
+	ended  bool
+}
+
 // NewRegistryEntry returns the entry of a key, last changed at the revision. An entry whose content cannot be used
 // has neither a routing table nor an endpoint; WithInvalid adds the reason. The entry of a
-// deleted key has none of these.
+// deleted key has none of these, except that of an evacuation, which names the failure domain.
 func NewRegistryEntry(key string, revision Revision) RegistryEntry {
 	return RegistryEntry{key: key, revision: revision}
 }
@@ -33,6 +41,18 @@
 	return e
 }
 
+// WithEvacuation returns a copy that evacuates a failure domain: nothing may be sent to its targets while the key exists.
+func (e RegistryEntry) WithEvacuation(domain FailureDomain) RegistryEntry {
+	e.evacuation = &evacuationChange{domain: domain}
+	return e
+}
+
+// WithEvacuationEnd returns a copy that ends the evacuation of a failure domain: its key was deleted.
+func (e RegistryEntry) WithEvacuationEnd(domain FailureDomain) RegistryEntry {
+	e.evacuation = &evacuationChange{domain: domain, ended: true}
+	return e
+}
+
 // WithInvalid returns a copy with the reason why the content cannot be used.
 func (e RegistryEntry) WithInvalid(err error) RegistryEntry {
 	e.invalid = err
@@ -61,6 +81,22 @@
 	return *e.endpoint, true
 }
 
+// Evacuation returns the failure domain that the key evacuates, if it does. That holds also if its content is invalid.
+func (e RegistryEntry) Evacuation() (FailureDomain, bool) {
+	if e.evacuation == nil || e.evacuation.ended {
+		return "", false
+	}
+	return e.evacuation.domain, true
+}
+
+// EvacuationEnd returns the failure domain that the deleted key evacuated, if it was such a key.
+func (e RegistryEntry) EvacuationEnd() (FailureDomain, bool) {
+	if e.evacuation == nil || !e.evacuation.ended {
+		return "", false
+	}
+	return e.evacuation.domain, true
+}
+
 // Invalid is the reason why the content cannot be used; nil for usable content and for deleted keys.
 func (e RegistryEntry) Invalid() error { return e.invalid }
 
