--- a/basillift/blfeed/body.go
+++ b/basillift/blfeed/body.go
@@ -21,7 +21,7 @@
 	Targets       []feedTarget       `json:"targets,omitempty"`
 }
 
-// feedTarget is the entry of a target, or only its key and revision if there is no usable entry.
+// feedTarget is the entry of a target, that of an evacuation, or only its key and revision if there is no usable entry.
 type feedTarget struct {
 	Key      string             `json:"key"`
 	Revision basillift.Revision `json:"revision"`
@@ -39,6 +39,11 @@
 	// StartedAtMillis is the start of the target in Unix milliseconds.
 	StartedAtMillis int64  `json:"born,omitempty"`
 	Sequence        uint64 `json:"sequence,omitempty"`
+	// Evacuation is the failure domain that the key evacuates, and EvacuationEnd the one that it no longer does. Unusable is set as
+	// well: a daemon that does not know these fields takes the entry for the removal of an unknown target, which changes nothing,
+	// and still learns its revision.
+	Evacuation    basillift.FailureDomain `json:"evacuation,omitempty"`
+	EvacuationEnd basillift.FailureDomain `json:"evacuationEnd,omitempty"`
 }
 
 // newFeedTarget converts an entry that this daemon received some time ago. The remaining warm-up time is reduced by
@@ -46,7 +51,9 @@
 func newFeedTarget(entry basillift.RegistryEntry, age time.Duration) feedTarget {
 	e, usable := entry.Endpoint()
 	if !usable {
-		return feedTarget{Key: entry.Key(), Revision: entry.Revision(), Unusable: true}
+		begun, _ := entry.Evacuation()
+		ended, _ := entry.EvacuationEnd()
+		return feedTarget{Key: entry.Key(), Revision: entry.Revision(), Unusable: true, Evacuation: begun, EvacuationEnd: ended}
 	}
 	return feedTarget{
 		Key: entry.Key(), Revision: entry.Revision(), Instance: e.Instance(), Service: e.Service(), Address: e.Address(),
@@ -57,7 +64,12 @@
 
 func (t feedTarget) registryEntry() basillift.RegistryEntry {
 	entry := basillift.NewRegistryEntry(t.Key, t.Revision)
-	if t.Unusable {
+	switch {
+	case t.Evacuation != "":
+		return entry.WithEvacuation(t.Evacuation)
+	case t.EvacuationEnd != "":
+		return entry.WithEvacuationEnd(t.EvacuationEnd)
+	case t.Unusable:
 		return entry
 	}
 	return entry.WithEndpoint(basillift.NewEndpoint(t.Instance, t.Service, t.Address, t.Domain, t.Slots, t.State).
--- a/basillift/blfeed/cache.go
+++ b/basillift/blfeed/cache.go
@@ -42,7 +42,8 @@
 	// newest one.
 	tables     []*bltable.Table
 	tableEntry basillift.RegistryEntry
-	// entries holds the usable entries of targets by key. changes holds their changes since historyStart, the newest one
+	// entries holds the usable entries of targets by key, and those of evacuations, also of ended ones until the next listing: a
+	// follower that knows an evacuation of an era before would keep it without its end. changes holds their changes since historyStart, the newest one
 	// at the end.
 	entries map[string]cachedEntry
 	changes []cachedEntry
@@ -50,9 +51,7 @@
 	// which it holds every change.
 	historyStart     basillift.Revision
 	completeRevision basillift.Revision
-	// newestRevision is the newest revision of any entry.
-	newestRevision basillift.Revision
-	registryDown   bool
+	registryDown     bool
 	// lastAnswer returns the time of the registry's last answer; nil if that time is not tracked.
 	lastAnswer func() time.Time
 	// lastRequest is the time of the last request of a follower.
@@ -88,7 +87,7 @@
 	c.notifyWaiters()
 }
 
-// Replace replaces the entries of all targets by those of a complete listing at a revision.
+// Replace replaces the entries of all targets and evacuations by those of a complete listing at a revision.
 func (c *Cache) Replace(now time.Time, revision basillift.Revision, all []basillift.RegistryEntry) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -104,7 +103,7 @@
 	c.notifyWaiters()
 }
 
-// Apply applies a change of one target's entry. A change older than the cached entry is ignored.
+// Apply applies a change of the entry of one target or evacuation. A change older than the cached entry is ignored.
 func (c *Cache) Apply(now time.Time, e basillift.RegistryEntry) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -112,7 +111,7 @@
 		return
 	}
 	c.entries[e.Key()] = cachedEntry{e, now}
-	if _, usable := e.Endpoint(); !usable {
+	if !isKept(e) {
 		delete(c.entries, e.Key())
 	}
 	c.changes = append(c.changes, cachedEntry{e, now})
@@ -124,6 +123,14 @@
 	c.notifyWaiters()
 }
 
+// isKept reports whether a follower that asks for all entries needs this one.
+func isKept(e basillift.RegistryEntry) bool {
+	_, isTarget := e.Endpoint()
+	_, begun := e.Evacuation()
+	_, ended := e.EvacuationEnd()
+	return isTarget || begun || ended
+}
+
 // Observe records an entry that changes nothing, such as a table that was published again.
 func (c *Cache) Observe(e basillift.RegistryEntry) {
 	c.mutex.Lock()
@@ -132,7 +139,7 @@
 }
 
 func (c *Cache) observe(revision basillift.Revision) {
-	c.newestRevision, c.completeRevision = max(c.newestRevision, revision), max(c.completeRevision, revision)
+	c.completeRevision = max(c.completeRevision, revision)
 }
 
 // SetRegistryDown records whether the registry is unreachable. While it is, there may be changes that the cache
@@ -199,7 +206,7 @@
 
 func (c *Cache) state(request basillift.FeedRequest) basillift.FeedState {
 	switch {
-	case c.registryDown || len(c.tables) == 0 || c.newestTable().Version() < request.Version() || c.newestRevision < request.NewestRevision():
+	case c.registryDown || len(c.tables) == 0 || c.newestTable().Version() < request.Version() || c.completeRevision < request.NewestRevision():
 		return basillift.FeedStale
 	case request.CompleteRevision() < c.historyStart:
 		return basillift.FeedFull
--- a/basillift/blfeed/followerregistry.go
+++ b/basillift/blfeed/followerregistry.go
@@ -84,8 +84,9 @@
 func (r *FollowerRegistry) List(ctx context.Context, after string) (basillift.RegistryPage, error) {
 	if after == "" {
 		newRequest := func(version uint64, _ time.Duration) basillift.FeedRequest {
-			// A reader of an older era holds what the registry has lost.
-			return basillift.NewFeedRequest(version, 0).Since(0, r.newestKnown().EraStart())
+			// A reader of an older era holds what the registry has lost. One that lacks an entry which this daemon has received would
+			// remove it by its listing, and end an evacuation so. What only other daemons have told may still be on its way.
+			return basillift.NewFeedRequest(version, 0).Since(0, max(r.newestKnown().EraStart(), r.newestRevision.load()))
 		}
 		if page, full := r.queryReaders(ctx, 0, newRequest); full {
 			return page, nil
