--- a/basillift/blfeed/evacuation_test.go
+++ b/basillift/blfeed/evacuation_test.go
@@ -83,12 +83,15 @@
 	})
 	t.Run("removed after the registry was restored", func(t *testing.T) {
 		is := is.New(t)
-		f, c := blfleet.New(), newEvacuatedCache(t)
+		f, late, c := blfleet.New(), blfleet.New(), newEvacuatedCache(t)
 		is.True(follow(t, f, c, 20))
+		is.True(follow(t, late, c, 20))
 		c.Replace(start, at(t, 2, 15), []basillift.RegistryEntry{begin(21)})
 		is.True(follow(t, f, c, 0))
 		c.Apply(start, end(at(t, 2, 16)))
 		is.True(!follow(t, f, c, 0))
+		// This one knows of the new era only from here on.
+		is.True(!follow(t, late, c, 0))
 	})
 }
 
