--- a/basillift/blfleet/evacuation.go
+++ b/basillift/blfleet/evacuation.go
@@ -114,7 +114,8 @@
 			continue
 		}
 		listed[entry.Key()] = true
-		if es.apply(now, entry) {
+		// A reader's listing may have a key of an era before that the registry lacks.
+		if es.apply(now, entry) && entry.Revision().Era() == revision.Era() {
 			k := es[entry.Key()]
 			k.confirmed = max(k.confirmed, revision)
 		}
--- a/basillift/blfleet/evacuation_test.go
+++ b/basillift/blfleet/evacuation_test.go
@@ -221,6 +221,12 @@
 		f.Replace(second(3), inEra(t, 2, 56), []basillift.RegistryEntry{ready("i1", inEra(t, 2, 1), "x:1"), begin(inEra(t, 2, 55))})
 		assertEvacuated(t, f, 3)
 	})
+	t.Run("one reader knows the lost key, the next one does not", func(t *testing.T) {
+		f := New()
+		f.Replace(second(1), inEra(t, 2, 50), []basillift.RegistryEntry{ready("i1", 1, "x:1"), begin(inEra(t, 1, 55))})
+		f.Replace(second(3), inEra(t, 2, 60), nil)
+		assertEvacuated(t, f, 1)
+	})
 	t.Run("late listing of the era before", func(t *testing.T) {
 		f := evacuated(t)
 		f.Replace(second(2), inEra(t, 2, 56), []basillift.RegistryEntry{begin(inEra(t, 2, 55))})
