--- a/basillift/blfleet/evacuation.go
+++ b/basillift/blfleet/evacuation.go
@@ -37,6 +37,9 @@
 	return at, known
 }
 
+// AnyEvacuated reports whether any failure domain is evacuated.
+func (f *Fleet) AnyEvacuated() bool { return len(f.current.Load().evacuations) > 0 }
+
 // Evacuations returns the present evacuations, ordered by failure domain.
 func (f *Fleet) Evacuations() []Evacuation {
 	current := f.current.Load().evacuations
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -228,11 +228,7 @@
 	query := blbalance.NewRequest(rr.route.Name(), c.expectedBytes(rr), rr.metadata.softDeadline)
 	target, found := f.balancer.Choose(now, f.fleet.Targets(rr.service), rr.triedInstances, query)
 	if !found {
-		reason := basillift.ReasonNoTarget
-		if len(rr.triedInstances) > 0 {
-			reason = basillift.ReasonOverload
-		}
-		return notRunAnswer(reason, 0), blretry.AttemptNoTarget
+		return c.refuseWithoutTarget(rr), blretry.AttemptNoTarget
 	}
 	instance := target.Endpoint().Instance()
 	rr.triedInstances = append(rr.triedInstances, instance)
@@ -249,6 +245,7 @@
 		f.adoptSuspicions(ended, *a.suspicion)
 	}
 	f.counters.countAttempt(result)
+	c.excludeEvacuated(rr, target, a)
 	rr.nestedCall = rr.nestedCall || a.nestedCall
 	rr.attempts = append(rr.attempts, attemptRecord{instance: instance, result: result, reason: a.reason, duration: ended.Sub(now), reportAge: reportAge})
 	if result == blretry.AttemptAnswered {
@@ -379,7 +376,7 @@
 		return blretry.AttemptAnswered
 	case a.outcome == basillift.OutcomeNotRun && a.reason == basillift.ReasonTarget:
 		return blretry.AttemptShed
-	case a.outcome == basillift.OutcomeNotRun && (a.reason == basillift.ReasonNoTarget || a.reason == basillift.ReasonDraining):
+	case a.outcome == basillift.OutcomeNotRun && (a.reason == basillift.ReasonNoTarget || a.reason == basillift.ReasonDraining || a.reason == basillift.ReasonEvacuated):
 		return blretry.AttemptUnreachable
 	case a.outcome == basillift.OutcomeNotRun:
 		return blretry.AttemptRefused
--- a/basillift/blforwarder/drain_test.go
+++ b/basillift/blforwarder/drain_test.go
@@ -29,6 +29,8 @@
 	target  *fakeTarget
 	targets []*fakeTarget
 	release chan struct{}
+	// held are the callers whose requests have the slots.
+	held []*caller
 }
 
 // startFullMesh starts a mesh with the target beside the daemon with a number.
@@ -47,7 +49,9 @@
 	m.publish(t, 2, 10*hangGuard)
 	for i := range defaultSlots {
 		id := fmt.Sprintf("held%d", i)
-		m.dial(t, 1).send(withoutDeadline(post(id, "x")))
+		c := m.dial(t, 1)
+		m.held = append(m.held, c)
+		c.send(withoutDeadline(post(id, "x")))
 		for m.target.count(id) == 0 {
 			time.Sleep(time.Millisecond)
 		}
--- a/basillift/blforwarder/explain.go
+++ b/basillift/blforwarder/explain.go
@@ -22,6 +22,7 @@
 	query := blbalance.NewRequest(route.Name(), f.answerSizes.expectedBytes(route.Name()), now.Add(route.LatencyObjective()))
 	for _, s := range route.Services() {
 		targets := f.fleet.Targets(s.Service())
+		lines = append(lines, f.explainEvacuated(s.Service())...)
 		if len(targets) == 0 {
 			lines = append(lines, fmt.Sprintf("targets of %s: none; the answer is 503", s.Service()))
 		}
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -196,7 +196,7 @@
 		}
 		f.applyRequestLimit(now, e)
 	}
-	f.accepted.lowerInstances(f.leavingLimits)
+	f.accepted.lowerInstances(f.instanceLimits)
 	if t := f.tables.Current(); t != nil {
 		f.splitter.Retain(t)
 	}
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -50,6 +50,7 @@
 	set.NewGauge("basillift_registry_revision", func() float64 { return float64(f.gossip.NewestRevision().Number()) })
 	set.NewGauge("basillift_registry_era", func() float64 { return float64(f.gossip.NewestRevision().Era()) })
 	set.NewGauge("basillift_machines", func() float64 { return float64(f.fleet.VMCount()) })
+	set.NewGauge("basillift_evacuated_domains", func() float64 { return float64(len(f.fleet.Evacuations())) })
 	return &counters{
 		set:      set,
 		duration: set.NewHistogram("basillift_request_duration_seconds"),
@@ -81,4 +82,7 @@
 }
 
 // WriteMetrics writes the metrics in the Prometheus text format.
-func (f *Forwarder) WriteMetrics(w io.Writer) { f.counters.set.WritePrometheus(w) }
+func (f *Forwarder) WriteMetrics(w io.Writer) {
+	f.counters.set.WritePrometheus(w)
+	f.writeEvacuations(w)
+}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -128,7 +128,7 @@
 // accept records a request until it is answered.
 func (t *targetSide) accept(r *request, meta requestMetadata) *acceptedRequest {
 	f := t.forwarder
-	limits := f.leavingLimits(meta.instance).lower(waitLimits{answerBy: meta.answerBy})
+	limits := f.instanceLimits(meta.instance).lower(waitLimits{answerBy: meta.answerBy})
 	return f.accepted.add(r.header(f.settings.headerNames.RequestID()), meta.instance, limits)
 }
 
@@ -142,13 +142,14 @@
 	if f.quarantine.active.Load() {
 		latest := meta.deadline.Add(-f.admission.serviceTimeBound(meta))
 		if refusal := f.quarantine.enter(ctx, now, run, latest, f.admission.load().MeanServiceTime()); refusal != nil {
-			return refusal
+			return f.explainRefusal(refusal)
 		}
 	}
 	meta = f.admission.classify(now, meta)
 	id, refusal := f.admission.acquire(ctx, now, run.accepted, meta)
 	if refusal != nil {
 		refusal.nestedCall = meta.nestedCall
+		refusal = f.explainRefusal(refusal)
 		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
 			// This daemon or its target serves no requests soon, whatever the queue expects.
 			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
@@ -198,6 +199,9 @@
 // and again just before it is sent.
 func (t *targetSide) checkTarget(now time.Time, meta requestMetadata) (refusal *answer) {
 	f := t.forwarder
+	if _, evacuated := f.ownTargetEvacuated(); evacuated {
+		return notRunAnswer(basillift.ReasonEvacuated, 0)
+	}
 	if startBy := f.leavingLimits(meta.instance).startBy; !startBy.IsZero() && now.After(startBy) {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -71,9 +71,10 @@
 	f := t.forwarder
 	now := time.Now()
 	meta.callerService = r.header(f.settings.headerNames.Caller())
-	refusal := t.checkAvailable(now, meta)
 	accepted := t.accept(r, meta)
 	defer f.accepted.remove(accepted)
+	// Only after accept: from then on the request learns of an evacuation.
+	refusal := t.checkAvailable(now, meta)
 	switch {
 	case refusal != nil:
 	case f.transfers != nil:
@@ -83,7 +84,7 @@
 	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if refusal != nil {
-		a = refusal
+		a = f.explainRefusal(refusal)
 	}
 	a.load = t.loadReport()
 	return a
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -24,7 +24,7 @@
 func Catalogue() []Entry {
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
-		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(), PlatformRestored(),
+		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(), PlatformRestored(), EvacuationBegun(), EvacuationEnded(), EvacuationUnreadable(),
 		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
 	}
 }
@@ -104,6 +104,21 @@
 	return Entry{208, zerolog.WarnLevel, "platform was restored from a copy", "publish the last version again; see docs/OPERATIONS.md"}
 }
 
+// EvacuationBegun is logged when the daemon learns that a failure domain is evacuated.
+func EvacuationBegun() Entry {
+	return Entry{209, zerolog.WarnLevel, "failure domain is evacuated", "remove the key when its targets may be used again; see docs/OPERATIONS.md"}
+}
+
+// EvacuationEnded is logged when the daemon learns that the evacuation of a failure domain has ended.
+func EvacuationEnded() Entry {
+	return Entry{210, zerolog.InfoLevel, "evacuation of a failure domain ended", "none"}
+}
+
+// EvacuationUnreadable is logged when the key of an evacuation has an unreadable value.
+func EvacuationUnreadable() Entry {
+	return Entry{211, zerolog.WarnLevel, "evacuation key has an unreadable value", "write {} to the key, or remove it; it evacuates until it is removed"}
+}
+
 // MemberDied is logged when a member is declared dead.
 func MemberDied() Entry { return Entry{300, zerolog.InfoLevel, "member died", "none"} }
 
--- a/basillift/enums.go
+++ b/basillift/enums.go
@@ -84,6 +84,7 @@
 	ReasonDepth         Reason = "depth"
 	ReasonNoTarget      Reason = "no-target"
 	ReasonDraining      Reason = "draining"
+	ReasonEvacuated     Reason = "evacuated"
 	ReasonTarget        Reason = "target"
 	ReasonQuarantined   Reason = "quarantined"
 	ReasonDuplicate     Reason = "duplicate"
--- /dev/null
+++ b/basilliftd/evacuation_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/blsettings"
+)
+
+// newQuietDaemon returns a daemon that routes by table and has not been started, and its log.
+func newQuietDaemon(t *testing.T) (*tableDaemon, *bytes.Buffer) {
+	t.Helper()
+	settings, err := blsettings.Parse([]byte(
+		`{"name":"vm1","domain":"a","service":"catalogue","routing":"table","caller":"127.0.0.1:1","mesh":"127.0.0.1:2","admin":"127.0.0.1:3","control":"127.0.0.1:7","ready":"127.0.0.1:4","target":"127.0.0.1:5","platform":"http://127.0.0.1:6"}`))
+	is.New(t).NoErr(err)
+	out := &bytes.Buffer{}
+	log, err := bllog.New(out, "info", "vm1")
+	is.New(t).NoErr(err)
+	d, err := buildTableDaemon("", settings, log)
+	is.New(t).NoErr(err)
+	return d, out
+}
+
+// Guards against an evacuation that is lost between the registry and the fleet, the feed cache or the log.
+func TestEvacuationPassesThroughDaemon(t *testing.T) {
+	const key = "op/evacuate/a"
+	now := time.Now()
+	begin := func(revision basillift.Revision) basillift.RegistryEntry {
+		return basillift.NewRegistryEntry(key, revision).WithEvacuation("a")
+	}
+	table := basillift.NewRegistryEntry("op/config", 1).WithRoutingSpec(basillift.NewRoutingSpec(1,
+		[]basillift.Route{basillift.NewRoute("r", "h.example", "/", basillift.KindIdempotent, basillift.NewWeightedService("catalogue", 1))},
+		[]basillift.ServiceLimits{basillift.NewServiceLimits("catalogue", "/h", 10)}, basillift.ClientLimits{}))
+	target := basillift.NewRegistryEntry("servers/i1", 2).WithEndpoint(
+		basillift.NewEndpoint("i1", "catalogue", "127.0.0.1:5", "a", 4, basillift.TargetReady).WithDaemon("127.0.0.1:2"))
+	assertState := func(t *testing.T, d *tableDaemon, out *bytes.Buffer, evacuated bool, events ...string) {
+		t.Helper()
+		is := is.New(t)
+		_, known := d.fleet.Evacuated("a")
+		is.Equal(known, evacuated)
+		body := string(d.cache.ServeFeed(context.Background(), basillift.NewFeedRequest(0, 0)).Body())
+		is.Equal(strings.Contains(body, `"evacuation":"a"`), evacuated)
+		for _, event := range events {
+			is.True(strings.Contains(out.String(), `"event":`+event))
+		}
+		is.True(!strings.Contains(out.String(), `"event":201`))
+		out.Reset()
+	}
+	t.Run("listing, change and listing", func(t *testing.T) {
+		d, out := newQuietDaemon(t)
+		d.Replace(now, 10, []basillift.RegistryEntry{begin(9), table, target})
+		assertState(t, d, out, true, `209,"message":"failure domain is evacuated","domain":"a","targets":1`)
+		d.Apply(now, basillift.NewRegistryEntry(key, 11).WithEvacuationEnd("a"))
+		assertState(t, d, out, false, `210,"message":"evacuation of a failure domain ended","domain":"a","targets":1`)
+		d.Apply(now.Add(time.Millisecond), begin(12))
+		assertState(t, d, out, true, "209")
+		d.Replace(now, 13, []basillift.RegistryEntry{table, target})
+		assertState(t, d, out, false, "210")
+	})
+	t.Run("unreadable value", func(t *testing.T) {
+		d, out := newQuietDaemon(t)
+		d.Replace(now, 10, []basillift.RegistryEntry{table, target})
+		d.Apply(now, begin(11).WithInvalid(basillift.ErrRefused))
+		assertState(t, d, out, true, "209", "211")
+	})
+	t.Run("the registry was restored from a copy without the key", func(t *testing.T) {
+		d, out := newQuietDaemon(t)
+		d.Replace(now, 10, []basillift.RegistryEntry{begin(9), table, target})
+		restored, err := basillift.NewRevision(1, 5)
+		is.New(t).NoErr(err)
+		d.Replace(now, restored, []basillift.RegistryEntry{table, target})
+		assertState(t, d, out, true, "208")
+	})
+}
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -55,6 +55,8 @@
 	watcher      *blwatch.Watcher
 	// revision is that of the last complete listing. Only the watcher's goroutine uses it.
 	revision basillift.Revision
+	// evacuations are those that were logged last. Only the watcher's goroutine uses them.
+	evacuations []blfleet.Evacuation
 	// cache is nil for a follower.
 	cache *blfeed.Cache
 	admin *bladmin.Server
@@ -269,6 +271,7 @@
 			tables = append(tables, entry)
 		} else {
 			endpoints = append(endpoints, entry)
+			d.logUnreadableEvacuation(entry)
 		}
 	}
 	d.log.Event(bllog.PlatformListed()).Uint64("era", revision.Era()).Uint64("revision", revision.Number()).Int("tables", len(tables)).Int("targets", len(endpoints)).Send()
@@ -278,6 +281,7 @@
 	d.revision = revision
 	// The targets come before the tables: the first table releases the waiting requests, which need targets.
 	current := d.fleet.Replace(now, revision, endpoints)
+	d.logEvacuations()
 	for _, entry := range tables {
 		d.adopt(entry)
 	}
@@ -291,7 +295,12 @@
 func (d *tableDaemon) Apply(now time.Time, entry basillift.RegistryEntry) {
 	if !d.adopt(entry) {
 		applied := d.fleet.Apply(now, entry)
-		d.logTarget(entry, applied)
+		if isEvacuation(entry) {
+			d.logUnreadableEvacuation(entry)
+			d.logEvacuations()
+		} else {
+			d.logTarget(entry, applied)
+		}
 		if d.cache != nil {
 			d.cache.Apply(now, entry)
 		}
@@ -313,7 +322,7 @@
 func (d *tableDaemon) adopt(entry basillift.RegistryEntry) bool {
 	table, ok := entry.RoutingSpec()
 	if !ok {
-		if entry.Invalid() != nil {
+		if entry.Invalid() != nil && !isEvacuation(entry) {
 			d.log.Event(bllog.VersionRefused()).Err(entry.Invalid()).Send()
 		}
 		return false
