--- a/basillift/blfleet/evacuation.go
+++ b/basillift/blfleet/evacuation.go
@@ -37,6 +37,14 @@
 	return at, known
 }
 
+// ReplaceEvacuations applies the evacuations of a complete listing at a revision, and nothing else of it.
+func (f *Fleet) ReplaceEvacuations(now time.Time, revision basillift.Revision, entries []basillift.RegistryEntry) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.evacuations.replace(now, revision, entries)
+	f.updateSnapshot()
+}
+
 // AnyEvacuated reports whether any failure domain is evacuated.
 func (f *Fleet) AnyEvacuated() bool { return len(f.current.Load().evacuations) > 0 }
 
--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfeed"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blsettings"
 )
@@ -28,6 +29,13 @@
 	return d, out
 }
 
+// testTable returns a routing table with one route.
+func testTable() basillift.RegistryEntry {
+	return basillift.NewRegistryEntry("op/config", 1).WithRoutingSpec(basillift.NewRoutingSpec(1,
+		[]basillift.Route{basillift.NewRoute("r", "h.example", "/", basillift.KindIdempotent, basillift.NewWeightedService("catalogue", 1))},
+		[]basillift.ServiceLimits{basillift.NewServiceLimits("catalogue", "/h", 10)}, basillift.ClientLimits{}))
+}
+
 // Guards against an evacuation that is lost between the registry and the fleet, the feed cache or the log.
 func TestEvacuationPassesThroughDaemon(t *testing.T) {
 	const key = "op/evacuate/a"
@@ -35,9 +43,7 @@
 	begin := func(revision basillift.Revision) basillift.RegistryEntry {
 		return basillift.NewRegistryEntry(key, revision).WithEvacuation("a")
 	}
-	table := basillift.NewRegistryEntry("op/config", 1).WithRoutingSpec(basillift.NewRoutingSpec(1,
-		[]basillift.Route{basillift.NewRoute("r", "h.example", "/", basillift.KindIdempotent, basillift.NewWeightedService("catalogue", 1))},
-		[]basillift.ServiceLimits{basillift.NewServiceLimits("catalogue", "/h", 10)}, basillift.ClientLimits{}))
+	table := testTable()
 	target := basillift.NewRegistryEntry("servers/i1", 2).WithEndpoint(
 		basillift.NewEndpoint("i1", "catalogue", "127.0.0.1:5", "a", 4, basillift.TargetReady).WithDaemon("127.0.0.1:2"))
 	assertState := func(t *testing.T, d *tableDaemon, out *bytes.Buffer, evacuated bool, events ...string) {
@@ -79,3 +85,47 @@
 		assertState(t, d, out, true, "208")
 	})
 }
+
+// cacheClient is the way to one other reader, which holds a cache.
+type cacheClient struct{ cache *blfeed.Cache }
+
+func (c cacheClient) RequestFeed(ctx context.Context, _ string, r basillift.FeedRequest) (basillift.FeedResponse, error) {
+	return c.cache.ServeFeed(ctx, r), nil
+}
+
+func awaitEvacuated(t *testing.T, d *tableDaemon, want bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		if _, evacuated := d.fleet.Evacuated("b"); evacuated == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("evacuated is not %t", want)
+		}
+	}
+}
+
+// Guards against a reader that sends to evacuated targets, since the registry answers other daemons but not this one.
+func TestReaderWithoutRegistryLearnsOfEvacuation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d, _ := newQuietDaemon(t)
+	other, _ := newQuietDaemon(t)
+	neighbor := basillift.NewRegistryEntry("servers/i2", 3).WithEndpoint(
+		basillift.NewEndpoint("i2", "catalogue", "127.0.0.2:5", "b", 4, basillift.TargetReady).WithDaemon("127.0.0.2:2"))
+	for _, each := range []*tableDaemon{d, other} {
+		each.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighbor})
+	}
+	d.fallback = newEvacuationFallback(d, cacheClient{other.cache}, 1)
+	d.WaitFailed(now, time.Second, basillift.ErrUnavailable)
+	d.RegistryDown(now, basillift.ErrUnavailable)
+	other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 11).WithEvacuation("b"))
+	awaitEvacuated(t, d, true)
+	is.Equal(len(d.fleet.Targets("catalogue")), 0)
+	other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 12).WithEvacuationEnd("b"))
+	awaitEvacuated(t, d, false)
+	is.Equal(len(d.fleet.Targets("catalogue")), 1)
+	is.Equal(d.cache.ServeFeed(context.Background(), basillift.NewFeedRequest(0, 0)).State(), basillift.FeedStale)
+	d.RegistryRecovered(now, true)
+	is.True(d.fallback.cancel == nil)
+}
--- a/basilliftd/evacuationlog.go
+++ b/basilliftd/evacuationlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"basillift.dev/basillift"
@@ -23,10 +24,18 @@
 	}
 }
 
+// evacuationLog holds the evacuations that were logged last.
+type evacuationLog struct {
+	mutex  sync.Mutex
+	logged []blfleet.Evacuation
+}
+
 // logEvacuations logs the evacuations that have begun or ended since its last call.
 func (d *tableDaemon) logEvacuations() {
+	d.evacuations.mutex.Lock()
+	defer d.evacuations.mutex.Unlock()
 	present := d.fleet.Evacuations()
-	for _, e := range d.evacuations {
+	for _, e := range d.evacuations.logged {
 		if !containsEvacuation(present, e) {
 			ended, known := d.fleet.EvacuationEnded(e.Domain())
 			if !known {
@@ -37,11 +46,11 @@
 		}
 	}
 	for _, e := range present {
-		if !containsEvacuation(d.evacuations, e) {
+		if !containsEvacuation(d.evacuations.logged, e) {
 			d.log.Event(bllog.EvacuationBegun()).Str("domain", string(e.Domain())).Int("targets", e.TargetCount()).Send()
 		}
 	}
-	d.evacuations = present
+	d.evacuations.logged = present
 }
 
 // containsEvacuation reports whether a list has the same evacuation: one that began again is another one.
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -54,12 +54,12 @@
 	forwarder    *blforwarder.Forwarder
 	watcher      *blwatch.Watcher
 	// revision is that of the last complete listing. Only the watcher's goroutine uses it.
-	revision basillift.Revision
-	// evacuations are those that were logged last. Only the watcher's goroutine uses them.
-	evacuations []blfleet.Evacuation
-	// cache is nil for a follower.
-	cache *blfeed.Cache
-	admin *bladmin.Server
+	revision    basillift.Revision
+	evacuations evacuationLog
+	// cache and fallback are nil for a follower.
+	cache    *blfeed.Cache
+	fallback *evacuationFallback
+	admin    *bladmin.Server
 	// metrics holds the daemon's own metrics, beside those of the forwarder.
 	metrics     *metrics.Set
 	failedWaits *metrics.Counter
@@ -138,18 +138,23 @@
 		d.cache.SetLastAnswer(d.watcher.LastAnswer)
 		d.watcher.SetHasFollowers(d.cache.HasFollowers)
 		d.forwarder.SetFeedServer(d.cache)
-		d.forwarder.SetRevisionGossip(d.watcher)
+		d.fallback = newEvacuationFallback(d, d.forwarder, rnd.Int63())
+		d.forwarder.SetRevisionGossip(revisionFanOut{d.watcher, d.fallback.registry})
 		return
 	}
 	readers := blfeed.NewReaderSelector(d.settings.Addresses().Mesh())
-	neighbors := func() []basillift.Neighbor { return d.fleet.Neighbors(d.settings.Place().FailureDomain()) }
-	followerRegistry := blfeed.NewFollowerRegistry(registry, d.forwarder, readers, d.tables, neighbors)
+	followerRegistry := blfeed.NewFollowerRegistry(registry, d.forwarder, readers, d.tables, d.neighbors)
 	followerRegistry.OnReaderChange(d.logReaderChange)
 	d.watcher = blwatch.New(followerRegistry, d, rnd)
 	d.forwarder.SetFeedServer(readers)
 	d.forwarder.SetRevisionGossip(revisionFanOut{d.watcher, followerRegistry})
 }
 
+// neighbors returns the daemons that may be asked for the feed.
+func (d *tableDaemon) neighbors() []basillift.Neighbor {
+	return d.fleet.Neighbors(d.settings.Place().FailureDomain())
+}
+
 // revisionFanOut passes the revisions that other daemons have seen to both the watcher and the follower registry.
 type revisionFanOut struct {
 	*blwatch.Watcher
@@ -192,6 +197,7 @@
 	_ = admin.Close()
 	cancel()
 	d.tasks.Wait()
+	d.fallback.stop()
 	d.log.Event(bllog.Stopped()).Send()
 	return err
 }
@@ -345,6 +351,10 @@
 // WaitFailed implements blwatch.Handler.
 func (d *tableDaemon) WaitFailed(_ time.Time, unanswered time.Duration, err error) {
 	d.failedWaits.Inc()
+	if d.fallback != nil {
+		// A silent registry does not count as down while other daemons tell of changes, since waits are then canceled.
+		d.fallback.start()
+	}
 	d.log.Event(bllog.WaitFailed()).Int64("unanswered_ms", unanswered.Milliseconds()).Err(err).Send()
 }
 
@@ -352,6 +362,7 @@
 func (d *tableDaemon) RegistryDown(_ time.Time, err error) {
 	if d.cache != nil {
 		d.cache.SetRegistryDown(true)
+		d.fallback.start()
 	}
 	d.log.Event(bllog.PlatformFailed()).Err(err).Send()
 }
@@ -363,6 +374,7 @@
 	}
 	d.forwarder.Reconnected(now)
 	if d.cache != nil {
+		d.fallback.stop()
 		d.cache.SetRegistryDown(false)
 	}
 	d.log.Event(bllog.PlatformReturned()).Bool("cut", partitioned).Send()
