--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -107,25 +107,35 @@
 
 // Guards against a reader that sends to evacuated targets, since the registry answers other daemons but not this one.
 func TestReaderWithoutRegistryLearnsOfEvacuation(t *testing.T) {
-	is := is.New(t)
 	now := time.Now()
-	d, _ := newQuietDaemon(t)
-	other, _ := newQuietDaemon(t)
-	neighbor := basillift.NewRegistryEntry("servers/i2", 3).WithEndpoint(
-		basillift.NewEndpoint("i2", "catalogue", "127.0.0.2:5", "b", 4, basillift.TargetReady).WithDaemon("127.0.0.2:2"))
-	for _, each := range []*tableDaemon{d, other} {
-		each.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighbor})
+	assertLearns := func(t *testing.T, lose func(d *tableDaemon)) *tableDaemon {
+		t.Helper()
+		is := is.New(t)
+		d, _ := newQuietDaemon(t)
+		other, _ := newQuietDaemon(t)
+		neighbor := basillift.NewRegistryEntry("servers/i2", 3).WithEndpoint(
+			basillift.NewEndpoint("i2", "catalogue", "127.0.0.2:5", "b", 4, basillift.TargetReady).WithDaemon("127.0.0.2:2"))
+		for _, each := range []*tableDaemon{d, other} {
+			each.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighbor})
+		}
+		d.fallback = newEvacuationFallback(d, cacheClient{other.cache}, 1)
+		lose(d)
+		other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 11).WithEvacuation("b"))
+		awaitEvacuated(t, d, true)
+		is.Equal(len(d.fleet.Targets("catalogue")), 0)
+		other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 12).WithEvacuationEnd("b"))
+		awaitEvacuated(t, d, false)
+		is.Equal(len(d.fleet.Targets("catalogue")), 1)
+		return d
 	}
-	d.fallback = newEvacuationFallback(d, cacheClient{other.cache}, 1)
-	d.WaitFailed(now, time.Second, basillift.ErrUnavailable)
-	d.RegistryDown(now, basillift.ErrUnavailable)
-	other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 11).WithEvacuation("b"))
-	awaitEvacuated(t, d, true)
-	is.Equal(len(d.fleet.Targets("catalogue")), 0)
-	other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 12).WithEvacuationEnd("b"))
-	awaitEvacuated(t, d, false)
-	is.Equal(len(d.fleet.Targets("catalogue")), 1)
-	is.Equal(d.cache.ServeFeed(context.Background(), basillift.NewFeedRequest(0, 0)).State(), basillift.FeedStale)
-	d.RegistryRecovered(now, true)
-	is.True(d.fallback.cancel == nil)
+	t.Run("registry down", func(t *testing.T) {
+		d := assertLearns(t, func(d *tableDaemon) { d.RegistryDown(now, basillift.ErrUnavailable) })
+		is.New(t).Equal(d.cache.ServeFeed(context.Background(), basillift.NewFeedRequest(0, 0)).State(), basillift.FeedStale)
+		d.RegistryRecovered(now, true)
+		is.New(t).True(d.fallback.cancel == nil)
+	})
+	t.Run("registry silent", func(t *testing.T) {
+		d := assertLearns(t, func(d *tableDaemon) { d.WaitFailed(now, time.Second, basillift.ErrUnavailable) })
+		d.fallback.stop()
+	})
 }
