--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"basillift.dev/basillift/blfeed"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blsettings"
+	"basillift.dev/basillift/blwatch"
 )
 
 // newQuietDaemon returns a daemon that routes by table and has not been started, and its log.
@@ -139,3 +141,35 @@
 		d.fallback.stop()
 	})
 }
+
+// Guards against an evacuation that gets lost in a listing of several pages, or outlives its key where the changes are lost.
+func TestEvacuationInPages(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d, _ := newQuietDaemon(t)
+	s := blwatch.NewWatchState(now, rand.New(rand.NewSource(1)))
+	key := basillift.NewRegistryEntry("op/evacuate/b", 22).WithEvacuation("b")
+	list := func(revision basillift.Revision, pages ...[]basillift.RegistryEntry) {
+		for i, entries := range pages {
+			next := strings.Repeat("x", len(pages)-1-i)
+			all, complete, _ := s.Listed(now, basillift.NewRegistryPage(entries, revision+basillift.Revision(i), next))
+			is.Equal(complete, next == "")
+			if complete {
+				d.Replace(now, revision, all)
+			}
+		}
+	}
+	// The key was written after the first page was read, so it comes again as a change.
+	list(20, []basillift.RegistryEntry{testTable()}, []basillift.RegistryEntry{key}, nil)
+	awaitEvacuated(t, d, true)
+	changes, _ := s.Changed(now, basillift.NewRegistryPage([]basillift.RegistryEntry{key}, 23, ""))
+	d.Apply(now, changes[0])
+	awaitEvacuated(t, d, true)
+	s.Failed(now, basillift.ErrCompacted)
+	is.Equal(s.Next(now).Kind(), blwatch.OperationList)
+	list(30, []basillift.RegistryEntry{testTable()}, []basillift.RegistryEntry{key})
+	awaitEvacuated(t, d, true)
+	s.Failed(now, basillift.ErrCompacted)
+	list(40, []basillift.RegistryEntry{testTable()}, nil)
+	awaitEvacuated(t, d, false)
+}
