--- a/basillift/bltable/diff.go
+++ b/basillift/bltable/diff.go
@@ -109,6 +109,12 @@
 		fmt.Sprintf("kind: %s, sent to at most %d targets", r.Kind(), r.Attempts()),
 		fmt.Sprintf("time: goal %s, timeout %s", r.LatencyObjective(), r.Timeout()),
 		fmt.Sprintf("priority: %d", r.Priority()))
+	for _, s := range r.Services() {
+		limits, _ := t.Service(s.Service())
+		if warmup, perSecond, limited := limits.ColdStart(); limited {
+			steps = append(steps, fmt.Sprintf("cold targets of %s: %.3g requests per second, for %s after a start", s.Service(), perSecond, warmup))
+		}
+	}
 	if !r.Kind().Retryable() {
 		steps = append(steps, "retries: only if a target or its daemon reported that the request did not run")
 	}
--- a/basillift/bltable/file.go
+++ b/basillift/bltable/file.go
@@ -25,11 +25,15 @@
 	Limits   FileLimits    `json:"limits"`
 }
 
-// FileService is a service with the health path and the connection limit of its targets.
+// FileService is a service with the health path, the connection limit and the cold start of its targets.
 type FileService struct {
 	Name        string `json:"name"`
 	Health      string `json:"health,omitempty"`
 	Connections int    `json:"connections,omitempty"`
+	// Warmup is for how long a target is cold after a start.
+	Warmup string `json:"warmup,omitempty"`
+	// ColdPerSecond is how many requests per second a cold target accepts.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
 }
 
 // FileRoute is a route. To has one entry unless the route is split.
@@ -85,7 +89,11 @@
 	}
 	services := make([]basillift.ServiceLimits, 0, len(f.Services))
 	for _, s := range f.Services {
-		services = append(services, basillift.NewServiceLimits(s.Name, s.Health, s.Connections))
+		warmup, err := parseDuration("warmup", s.Warmup)
+		if err != nil {
+			return basillift.RoutingSpec{}, fmt.Errorf("service %q: %w", s.Name, err)
+		}
+		services = append(services, basillift.NewServiceLimits(s.Name, s.Health, s.Connections).WithColdStart(warmup, s.ColdPerSecond))
 	}
 	headerTimeout, errHeader := parseDuration("headerTimeout", f.Limits.HeaderTimeout)
 	idleTimeout, errIdle := parseDuration("idleTimeout", f.Limits.IdleTimeout)
@@ -141,7 +149,10 @@
 		HeaderTimeout: formatDuration(r.Limits().HeaderTimeout()), IdleTimeout: formatDuration(r.Limits().IdleTimeout()),
 	}}
 	for _, s := range r.Services() {
-		f.Services = append(f.Services, FileService{Name: s.Name(), Health: s.HealthPath(), Connections: s.Connections()})
+		warmup, perSecond, _ := s.ColdStart()
+		f.Services = append(f.Services, FileService{
+			Name: s.Name(), Health: s.HealthPath(), Connections: s.Connections(), Warmup: formatDuration(warmup), ColdPerSecond: perSecond,
+		})
 	}
 	return f
 }
--- a/basillift/bltable/problem.go
+++ b/basillift/bltable/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"basillift.dev/basillift"
@@ -9,15 +10,16 @@
 
 // Problem is one reason to refuse a table.
 type Problem struct {
-	route   string
+	// subject is what the problem concerns: a route or a service, with its name.
+	subject string
 	field   string
 	found   string
 	allowed string
 }
 
-// String describes the problem by route, field, found value and allowed values.
+// String describes the problem by route or service, field, found value and allowed values.
 func (p Problem) String() string {
-	return fmt.Sprintf("route %q, field %s: found %s, allowed is %s", p.route, p.field, p.found, p.allowed)
+	return fmt.Sprintf("%s, field %s: found %s, allowed is %s", p.subject, p.field, p.found, p.allowed)
 }
 
 // InvalidError refuses a table as a whole. It wraps basillift.ErrRefused.
@@ -38,11 +40,27 @@
 // Unwrap always returns basillift.ErrRefused.
 func (e *InvalidError) Unwrap() error { return basillift.ErrRefused }
 
+// checkColdStart returns the problems of a service's cold start.
+func checkColdStart(s basillift.ServiceLimits) []Problem {
+	var problems []Problem
+	add := func(field, found, allowed string) {
+		problems = append(problems, Problem{subject: fmt.Sprintf("service %q", s.Name()), field: field, found: found, allowed: allowed})
+	}
+	warmup, perSecond, _ := s.ColdStart()
+	if warmup < 0 {
+		add("warmup", warmup.String(), "a time that is not negative")
+	}
+	if !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+		add("coldPerSecond", fmt.Sprint(perSecond), "a number of 0 or more")
+	}
+	return problems
+}
+
 // checkRoute returns the problems of a route.
 func (t *Table) checkRoute(r *basillift.Route) []Problem {
 	var problems []Problem
 	add := func(field, found, allowed string) {
-		problems = append(problems, Problem{route: r.Name(), field: field, found: found, allowed: allowed})
+		problems = append(problems, Problem{subject: fmt.Sprintf("route %q", r.Name()), field: field, found: found, allowed: allowed})
 	}
 	if r.Host() == "" {
 		add("host", "nothing", "a host name")
--- a/basillift/bltable/table.go
+++ b/basillift/bltable/table.go
@@ -22,10 +22,11 @@
 		routesByHost: make(map[string]map[string]*basillift.Route),
 		services:     make(map[string]basillift.ServiceLimits, len(r.Services())),
 	}
+	var problems []Problem
 	for _, s := range r.Services() {
 		t.services[s.Name()] = s
+		problems = append(problems, checkColdStart(s)...)
 	}
-	var problems []Problem
 	for i := range r.Routes() {
 		route := &r.Routes()[i]
 		problems = append(problems, t.checkRoute(route)...)
--- a/basillift/headernames.go
+++ b/basillift/headernames.go
@@ -11,6 +11,8 @@
 	caller    string
 	limit     string
 	leaving   string
+	cold      string
+	answering string
 	readyPath string
 }
 
@@ -37,6 +39,13 @@
 	return h
 }
 
+// WithHealth sets the headers of a target's answer to a health check: the milliseconds for which it stays cold, and its
+// instance.
+func (h HeaderNames) WithHealth(cold, answering string) HeaderNames {
+	h.cold, h.answering = cold, answering
+	return h
+}
+
 // WithReady sets the path that answers 200 while the daemon takes requests.
 func (h HeaderNames) WithReady(path string) HeaderNames {
 	h.readyPath = path
@@ -67,5 +76,11 @@
 // Leaving names the header with the value 1 in the answers of a target that is leaving.
 func (h HeaderNames) Leaving() string { return h.leaving }
 
+// Cold names the header with the milliseconds for which a target stays cold.
+func (h HeaderNames) Cold() string { return h.cold }
+
+// AnsweringInstance names the header with the instance that answered a health check.
+func (h HeaderNames) AnsweringInstance() string { return h.answering }
+
 // ReadyPath is the path that answers 200 while the daemon takes requests.
 func (h HeaderNames) ReadyPath() string { return h.readyPath }
--- a/basillift/routing.go
+++ b/basillift/routing.go
@@ -99,11 +99,13 @@
 // Attempts is the number of targets to which one request may be sent.
 func (r Route) Attempts() int { return r.attempts }
 
-// ServiceLimits are the health path and the connection limit of a service's targets.
+// ServiceLimits are the health path, the connection limit and the cold start of a service's targets.
 type ServiceLimits struct {
-	name        string
-	healthPath  string
-	connections int
+	name          string
+	healthPath    string
+	connections   int
+	warmup        time.Duration
+	coldPerSecond float64
 }
 
 // NewServiceLimits returns the limits of a service. connections is the maximum for each target; 0 for no limit.
@@ -111,6 +113,19 @@
 	return ServiceLimits{name: name, healthPath: healthPath, connections: connections}
 }
 
+// WithColdStart sets for how long a target is cold after a start, and how many requests per second it accepts from all VMs
+// together while it is.
+func (s ServiceLimits) WithColdStart(warmup time.Duration, requestsPerSecond float64) ServiceLimits {
+	s.warmup, s.coldPerSecond = warmup, requestsPerSecond
+	return s
+}
+
+// ColdStart returns the values of WithColdStart. limited is false if the targets have no cold phase, which is so if one of the
+// values is 0.
+func (s ServiceLimits) ColdStart() (warmup time.Duration, perSecond float64, limited bool) {
+	return s.warmup, s.coldPerSecond, s.warmup > 0 && s.coldPerSecond > 0
+}
+
 // Name is the service's name.
 func (s ServiceLimits) Name() string { return s.name }
 
