--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -94,7 +94,14 @@
 // SetRequestLimit sets how many requests per second the target accepts, and returns the ids of the waiting requests that
 // start. Without a limit only the slots bound them.
 func (q *DeadlineQueue) SetRequestLimit(now time.Time, perSecond float64, limited bool) []uint64 {
-	q.limit.set(now, perSecond, limited)
+	q.limit.setOwn(now, perSecond, limited)
+	return q.dispatch(now)
+}
+
+// SetColdLimit sets how many requests per second the target accepts because it is or may be cold, and returns the ids of the
+// waiting requests that start. Of this limit and the one of SetRequestLimit the lower one holds.
+func (q *DeadlineQueue) SetColdLimit(now time.Time, perSecond float64, limited bool) []uint64 {
+	q.limit.setCold(now, perSecond, limited)
 	return q.dispatch(now)
 }
 
--- a/basillift/bladmit/requestlimit.go
+++ b/basillift/bladmit/requestlimit.go
@@ -10,27 +10,64 @@
 	// limitBurstTime is the time for which an idle target's unused requests are kept, so that requests which arrive
 	// together do not all have to wait. It is well below the second for which the target names its limit.
 	limitBurstTime = 250 * time.Millisecond
+	// coldBurstTime is the same for a cold target. A cold target crashes above 1.5 times its rate, and a request may reach it
+	// 300 ms after it was counted, when its slot was reserved for a large body; so the sum of both has to stay well below the
+	// half of a second.
+	coldBurstTime = 50 * time.Millisecond
 	// minRequestLimit keeps a request going to a target from time to time, since only an answer can end a limit.
 	minRequestLimit = 0.1
 	// maxReturnSpread bounds by how much the return of a refused request is delayed behind those refused before it.
 	maxReturnSpread = time.Second
 )
 
-// requestLimit paces the requests to a target that accepts only some per second. The zero value allows all requests.
+// requestLimit paces the requests to a target that accepts only some per second, for either of two reasons: the target names a
+// limit of its own, or it is cold. The lower limit holds. The zero value allows all requests.
 type requestLimit struct {
 	limiter *rate.Limiter
+	// own and cold are the limits by reason, in requests per second.
+	own, cold reasonLimit
 	// nextReturn is when the next refused request should come back.
 	nextReturn time.Time
 }
 
-// set changes the limit, in requests per second.
-func (l *requestLimit) set(now time.Time, perSecond float64, limited bool) {
-	if !limited {
+// reasonLimit is the limit for one reason. The zero value is no limit.
+type reasonLimit struct {
+	perSecond float64
+	limited   bool
+}
+
+func (r reasonLimit) burst(unused time.Duration) int {
+	return max(1, int(max(minRequestLimit, r.perSecond)*unused.Seconds()))
+}
+
+// setOwn changes the limit that the target names, in requests per second.
+func (l *requestLimit) setOwn(now time.Time, perSecond float64, limited bool) {
+	l.own = reasonLimit{perSecond, limited}
+	l.apply(now)
+}
+
+// setCold changes the limit of a cold target, in requests per second. When it begins, no requests are kept from before: others
+// may have sent some to the target within the same second.
+func (l *requestLimit) setCold(now time.Time, perSecond float64, limited bool) {
+	begins := limited && !l.cold.limited
+	l.cold = reasonLimit{perSecond, limited}
+	if begins {
+		l.limiter = nil
+	}
+	l.apply(now)
+	if begins {
+		// A new limiter is full.
+		l.limiter.AllowN(now, l.limiter.Burst())
+	}
+}
+
+// apply makes the lower limit hold.
+func (l *requestLimit) apply(now time.Time) {
+	perSecond, burst := l.lower()
+	if burst == 0 {
 		*l = requestLimit{}
 		return
 	}
-	perSecond = max(minRequestLimit, perSecond)
-	burst := max(1, int(perSecond*limitBurstTime.Seconds()))
 	if l.limiter == nil {
 		l.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
 		return
@@ -39,6 +76,20 @@
 	l.limiter.SetBurstAt(now, burst)
 }
 
+// lower returns the lower limit, and how many unused requests are kept; 0 without a limit.
+func (l *requestLimit) lower() (perSecond float64, burst int) {
+	own, cold := l.own.burst(limitBurstTime), l.cold.burst(coldBurstTime)
+	switch {
+	case l.own.limited && l.cold.limited:
+		perSecond, burst = min(l.own.perSecond, l.cold.perSecond), min(own, cold)
+	case l.own.limited:
+		perSecond, burst = l.own.perSecond, own
+	case l.cold.limited:
+		perSecond, burst = l.cold.perSecond, cold
+	}
+	return max(minRequestLimit, perSecond), burst
+}
+
 func (l *requestLimit) active() bool { return l.limiter != nil }
 
 // take reports whether a request may start now, and counts it.
