--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -184,8 +184,8 @@
 		return false
 	}
 	r := &trackedEntry{revision: entry.Revision(), target: &Target{endpoint: e, warmupEnd: now.Add(e.WarmupRemaining())}}
-	if previous != nil && previous.target.endpoint.StartedAt().Equal(e.StartedAt()) {
-		r.target.warmupEnd = earlierTime(previous.target.warmupEnd, r.target.warmupEnd)
+	if previous != nil {
+		r.target.warmupEnd = previous.target.nextWarmupEnd(r.target)
 	}
 	if !e.State().AcceptsRequests() {
 		r.leavingSince = now
@@ -203,13 +203,6 @@
 	return !r.removedAt.IsZero() && revision.Era() > r.revision.Era() && !r.target.endpoint.OlderThan(e)
 }
 
-func earlierTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // remove removes an entry, or marks it as missing if the registry may have lost it in an outage. It stores a copy,
 // since the current snapshot may still refer to the previous one.
 func (f *Fleet) remove(now time.Time, key string, r trackedEntry, possiblyLost bool) {
