--- a/basillift/blbalance/balancer.go
+++ b/basillift/blbalance/balancer.go
@@ -1,8 +1,6 @@
 package blbalance
 
 import (
-	"fmt"
-	"math"
 	"math/rand"
 	"slices"
 	"sync"
@@ -101,6 +99,9 @@
 	rnd        *rand.Rand
 	targets    map[string]*targetState
 	domains    map[basillift.FailureDomain]*domainState
+	// coldStart and evacuationEnded are set by SetColdStarts.
+	coldStart       func(service string) (warmup time.Duration, perSecond float64, limited bool)
+	evacuationEnded func(basillift.FailureDomain) (at time.Time, known bool)
 	// routeFactors holds the response time of each route, relative to the mean service time of its targets.
 	routeFactors map[string]float64
 }
@@ -115,9 +116,11 @@
 
 // targetState is the observed state of one target.
 type targetState struct {
-	inFlight         int
-	load             basillift.Load
-	reportedAt       time.Time
+	inFlight   int
+	load       basillift.Load
+	reportedAt time.Time
+	// reportedRun is the start of the run of the target that the report is about.
+	reportedRun      time.Time
 	inFlightAtReport int
 	failureRate      float64
 	pauses           int
@@ -199,81 +202,6 @@
 	return best, best != nil
 }
 
-// cost is the expected loss of sending a request to a target, as a share of the request's value: from a late answer,
-// from a failure, and from the price of bytes to another failure domain. Utilization and response time add utilizationCost.
-func (b *Balancer) cost(now time.Time, t *blfleet.Target, request Request) float64 {
-	e := t.Endpoint()
-	state := b.state(now, e.Instance())
-	pending := state.inFlight
-	if now.Sub(state.reportedAt) < loadReportLifetime {
-		pending = max(pending, state.load.Running()+state.load.Queued()+state.inFlight-state.inFlightAtReport)
-	}
-	serviceSeconds := state.serviceSeconds(now, t)
-	slots := b.usableSlots(now, e, serviceSeconds)
-	responseSeconds := serviceSeconds * b.routeFactor(request.route)
-	responseSeconds += float64(serviceSeconds * max(0, float64(pending+1)-slots) / slots)
-	if backlog, slow := state.load.SlowLink(); slow && request.bytes >= LargeBodyBytes {
-		responseSeconds += max(0, backlog-now.Sub(state.reportedAt)).Seconds()
-	}
-	cost := state.failureRate + float64(utilizationCost*float64(pending)/slots)
-	if e.Domain() != b.domain {
-		responseSeconds += remoteRoundTrip.Seconds()
-		cost += remoteByteCost * float64(request.bytes)
-	}
-	return cost + lateAnswerLoss*lateProbability(responseSeconds, request.softDeadline.Sub(now).Seconds()) + utilizationCost*responseSeconds
-}
-
-// usableSlots is how many requests a target runs at once: those for which it has slots, or fewer if it accepts too few per
-// second to keep its slots busy.
-func (b *Balancer) usableSlots(now time.Time, e basillift.Endpoint, serviceSeconds float64) float64 {
-	slots := float64(defaultSlots)
-	if e.Slots() > 0 {
-		slots = float64(e.Slots())
-	}
-	if perSecond, limited := b.advisories.Limit(now, e); limited {
-		slots = min(slots, max(minUsableSlots, perSecond*serviceSeconds))
-	}
-	return slots
-}
-
-// serviceSeconds returns the expected mean service time of a target.
-func (s *targetState) serviceSeconds(now time.Time, t *blfleet.Target) float64 {
-	serviceTime := defaultServiceTime
-	if s.load.MeanServiceTime() > 0 {
-		serviceTime = s.load.MeanServiceTime()
-	}
-	if now.Before(t.WarmupEnd()) {
-		serviceTime *= warmupFactor
-	}
-	return serviceTime.Seconds()
-}
-
-// lateProbability returns the probability that a request with an expected response time takes longer than the time
-// that remains. It approximates the tail of the normal distribution by a logistic function.
-func lateProbability(expectedSeconds, remainingSeconds float64) float64 {
-	z := (remainingSeconds - expectedSeconds) / (responseTimeVariation * expectedSeconds)
-	return 1 / (1 + math.Exp(1.702*z))
-}
-
-func (b *Balancer) routeFactor(route string) float64 {
-	if f, known := b.routeFactors[route]; known {
-		return f
-	}
-	return 1
-}
-
-// observeRouteTime updates the moving average of a route's response time, relative to the mean of the target.
-func (b *Balancer) observeRouteTime(route string, ratio float64) {
-	f, known := b.routeFactors[route]
-	if !known && len(b.routeFactors) >= maxRoutes {
-		clear(b.routeFactors)
-	}
-	if !known {
-		f = 1
-	}
-	b.routeFactors[route] = f + (ratio-f)*routeSmoothing
-}
-
 // Started records that a request is sent to a target. Each call must be followed by a call of Ended.
 func (b *Balancer) Started(now time.Time, t *blfleet.Target) {
 	b.mutex.Lock()
@@ -290,6 +218,7 @@
 	state.inFlight = max(0, state.inFlight-1)
 	if load != nil {
 		state.load, state.reportedAt, state.inFlightAtReport = *load, now, state.inFlight
+		state.reportedRun = t.Endpoint().StartedAt()
 		if result == ResultAnswered && load.Queued() == 0 && load.MeanServiceTime() > 0 {
 			b.observeRouteTime(request.route, took.Seconds()/load.MeanServiceTime().Seconds())
 		}
@@ -377,31 +306,6 @@
 	return now.Sub(state.reportedAt)
 }
 
-// Explain describes the observed state of a target and its cost for a request, in one line for operators.
-func (b *Balancer) Explain(now time.Time, t *blfleet.Target, request Request) string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	e := t.Endpoint()
-	state := b.state(now, e.Instance())
-	status := "usable"
-	if b.paused(now, e) {
-		status = "paused"
-	}
-	if _, leaving := b.advisories.Leaving(e); leaving {
-		status = "leaving"
-	}
-	if perSecond, limited := b.advisories.Limit(now, e); limited {
-		status += fmt.Sprintf(", accepts %.3g requests per second", perSecond)
-	}
-	report := "no load report"
-	if !state.reportedAt.IsZero() {
-		report = fmt.Sprintf("%d running and %d queued on %d slots, mean service time %s, reported %s ago", state.load.Running(), state.load.Queued(),
-			state.load.Slots(), state.load.MeanServiceTime().Round(time.Millisecond), now.Sub(state.reportedAt).Round(time.Millisecond))
-	}
-	return fmt.Sprintf("%s, in %s, %d in flight from this daemon, failure rate %.2f, %s, cost %.3f",
-		status, e.Domain(), state.inFlight, state.failureRate, report, b.cost(now, t, request))
-}
-
 // Forget removes the state of targets that were not considered for the given time and have no requests in flight.
 func (b *Balancer) Forget(now time.Time, after time.Duration) {
 	b.mutex.Lock()
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -32,7 +32,11 @@
 	calls int
 	// onRead is called after bytes have arrived during the current call; nil for no function.
 	onRead    func()
+	opened    time.Time
 	idleSince time.Time
+	// closedSince is since when an idle connection was unused that the peer had closed when this one was opened instead; zero
+	// if there was none.
+	closedSince time.Time
 	// maxIdle is how long the connection may stay idle. The server can shorten it.
 	maxIdle time.Duration
 }
@@ -186,6 +190,15 @@
 	return pending, nil
 }
 
+// Opened returns when the opening of the connection began.
+func (c *Conn) Opened() time.Time { return c.opened }
+
+// Replaces reports whether the connection was opened because the peer had closed all idle ones. It may have done so at any
+// time since the returned one, when the least recently used of them was used last.
+func (c *Conn) Replaces() (since time.Time, closed bool) {
+	return c.closedSince, !c.closedSince.IsZero()
+}
+
 // Reused reports whether the current call is not the first one on the connection.
 func (c *Conn) Reused() bool { return c.calls > 1 }
 
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -58,17 +58,26 @@
 // Get returns an idle connection that is still usable, or opens a new one. It discards idle connections that are
 // expired or unusable. The error wraps ErrTooManyConnections if no connection may be opened.
 func (p *Pool) Get(now, deadline time.Time) (*Conn, error) {
+	var closedSince time.Time
 	for {
 		c := p.takeIdle()
 		if c == nil {
 			break
 		}
-		if now.Sub(c.idleSince) < c.maxIdle && c.Usable() {
+		expired := now.Sub(c.idleSince) >= c.maxIdle
+		if !expired && c.Usable() {
 			return c, nil
 		}
+		if !expired {
+			closedSince = c.idleSince
+		}
 		p.Discard(c)
 	}
-	return p.dial(now, deadline)
+	c, err := p.dial(now, deadline)
+	if err == nil {
+		c.closedSince = closedSince
+	}
+	return c, err
 }
 
 // Open opens a new connection even if an idle one is usable, since open connections may be silent while new ones work.
@@ -103,6 +112,7 @@
 		p.release()
 		return nil, err
 	}
+	c.opened = now
 	return c, nil
 }
 
--- a/basillift/load.go
+++ b/basillift/load.go
@@ -11,6 +11,8 @@
 	slowLink        bool
 	backlog         time.Duration
 	advisory        Advisory
+	coldPerSecond   float64
+	coldFor         time.Duration
 }
 
 // NewLoad returns a load report of a target whose link is not slow; slots is 0 if it is not known.
@@ -47,3 +49,15 @@
 
 // Advisory is what the target last said about itself.
 func (l Load) Advisory() Advisory { return l.advisory }
+
+// WithColdLimit returns a copy for a target that is or may be cold: how many requests per second it gets from all VMs together,
+// and for how long.
+func (l Load) WithColdLimit(perSecond float64, remaining time.Duration) Load {
+	l.coldPerSecond, l.coldFor = perSecond, remaining
+	return l
+}
+
+// ColdLimit returns the values of WithColdLimit; false if the target is not limited as cold.
+func (l Load) ColdLimit() (perSecond float64, remaining time.Duration, limited bool) {
+	return l.coldPerSecond, l.coldFor, l.coldPerSecond > 0 && l.coldFor > 0
+}
