--- a/basillift/blwarmup/observe.go
+++ b/basillift/blwarmup/observe.go
@@ -25,10 +25,11 @@
 		return
 	}
 	s.entry, s.entryKnown = e, true
-	if !known || previous.Instance() != e.Instance() || !previous.StartedAt().Equal(e.StartedAt()) {
+	newRun := !known || previous.Instance() != e.Instance() || !previous.StartedAt().Equal(e.StartedAt())
+	if newRun {
 		s.observeRun(now, e, known && previous.Instance() != e.Instance())
 	}
-	s.observeColdLeft(now, e.WarmupRemaining())
+	s.observeColdLeft(now, e.WarmupRemaining(), newRun || e.WarmupRemaining() >= previous.WarmupRemaining())
 }
 
 // observeRun records an entry of a run from which there was none before. The state stays known if it was learned from this run:
@@ -53,12 +54,16 @@
 	s.restartExpected = false
 }
 
-// observeColdLeft records for how long the target stays cold by its entry. The entry may be older than the last health answer,
-// and describe the cold phase of which that answer has told the exact end.
-func (s *State) observeColdLeft(now time.Time, coldLeft time.Duration) {
-	end := now.Add(coldLeft)
+// observeColdLeft records for how long the target stays cold by its entry. begins is set unless the entry describes the same cold
+// phase as the one before, of which less is left. A phase that begins may be the one whose end is known better, since entries are
+// late: from a health answer, or because the target was reached.
+func (s *State) observeColdLeft(now time.Time, coldLeft time.Duration, begins bool) {
+	end, knownEnd := now.Add(coldLeft), s.coldUntil
+	if s.cause != CauseNone && !s.reachableSince.IsZero() {
+		knownEnd = later(knownEnd, s.unknownUntil(now))
+	}
 	switch {
-	case coldLeft > 0 && end.Add(-entryLag).After(s.coldUntil):
+	case coldLeft > 0 && begins && end.Add(-entryLag).After(knownEnd):
 		s.coldUntil, s.fromEntry = end, true
 	case s.fromEntry && end.Before(s.coldUntil):
 		s.coldUntil = end
--- a/basillift/blwarmup/state.go
+++ b/basillift/blwarmup/state.go
@@ -6,8 +6,9 @@
 	"basillift.dev/basillift"
 )
 
-// entryLag is how old the content of a registry entry may be when it arrives: the registry shows a write after up to 0.8 s.
-const entryLag = time.Second
+// entryLag is how old the content of a registry entry may be when it arrives. Targets write every 1.5 s, and the registry shows a
+// write after up to 0.8 s. It has to be less than a usual warm-up of 3 s, so that a whole further one is noticed in any case.
+const entryLag = 2300 * time.Millisecond
 
 // Cause says why the state of a target is unknown.
 type Cause string
--- a/basillift/blwarmup/state_test.go
+++ b/basillift/blwarmup/state_test.go
@@ -101,12 +101,14 @@
 		assertLimit(t, s, time.Hour+time.Second, CauseStart, time.Hour+warmup)
 		assertNoLimit(t, s, time.Hour+warmup)
 	})
-	t.Run("an entry extends the limit of an unknown state", func(t *testing.T) {
+	t.Run("an entry extends the limit of an unknown state only by a later cold phase", func(t *testing.T) {
 		s := started()
 		s.ObserveAnswer(baseTime, baseTime, baseTime)
-		s.ObserveEntry(at(time.Second), entryOf("i", -time.Second, 1, 2500*time.Millisecond))
-		assertLimit(t, s, 2*time.Second, CauseStart, 3500*time.Millisecond)
-		assertLimit(t, s, 3*time.Second, CauseNone, 3500*time.Millisecond)
+		s.ObserveEntry(at(2*time.Second), entryOf("i", -time.Second, 1, warmup))
+		assertLimit(t, s, 2*time.Second, CauseStart, warmup)
+		s.ObserveEntry(at(2900*time.Millisecond), entryOf("i", -time.Second, 2, warmup))
+		assertLimit(t, s, 2900*time.Millisecond, CauseStart, 5900*time.Millisecond)
+		assertLimit(t, s, warmup, CauseNone, 5900*time.Millisecond)
 	})
 	t.Run("a target that was reached before it started by its entry", func(t *testing.T) {
 		s := started()
