--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -155,6 +155,7 @@
 	b = appendField(b, headerHop, a.formatOutcome())
 	if a.load != nil {
 		b = appendField(b, headerLoad, formatLoad(*a.load))
+		b = appendColdLimit(b, *a.load)
 	}
 	if a.suspicion != nil {
 		b = appendField(b, headerSuspicion, formatSuspicion(time.Now(), *a.suspicion))
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -368,6 +368,9 @@
 func (a *answer) parseInternalHeaders() {
 	a.parseOutcome(a.header(headerHop))
 	a.load = parseLoad(a.header(headerLoad))
+	if cold := a.header(headerCold); cold != "" && a.load != nil {
+		*a.load = parseColdLimit(*a.load, cold)
+	}
 }
 
 // attemptResult translates an answer of the target's daemon into the result of the attempt.
--- /dev/null
+++ b/basillift/blforwarder/coldtarget.go
@@ -0,0 +1,238 @@
+package blforwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"basillift.dev/basillift"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/blpool"
+	"basillift.dev/basillift/blwarmup"
+)
+
+// evacuations says which failure domains are or were evacuated.
+type evacuations interface {
+	// Evacuated returns since when a failure domain is evacuated.
+	Evacuated(basillift.FailureDomain) (since time.Time, evacuated bool)
+	// EvacuationEnded returns when the last evacuation of a failure domain has ended.
+	EvacuationEnded(basillift.FailureDomain) (at time.Time, known bool)
+}
+
+// noEvacuations knows of no evacuation.
+type noEvacuations struct{}
+
+func (noEvacuations) Evacuated(basillift.FailureDomain) (since time.Time, evacuated bool) {
+	return time.Time{}, false
+}
+
+func (noEvacuations) EvacuationEnded(basillift.FailureDomain) (at time.Time, known bool) {
+	return time.Time{}, false
+}
+
+// coldTarget limits the requests to the VM's own target while that is or may be cold. blwarmup decides; this type passes
+// observations to it, sends the health checks and makes the admission keep the limit.
+type coldTarget struct {
+	forwarder *Forwarder
+	// active is set while the service of the target has a cold start. Otherwise nothing is observed.
+	active atomic.Bool
+	mutex  sync.Mutex
+	state  *blwarmup.State
+	// limit is the limit in force; nil for none.
+	limit atomic.Pointer[blwarmup.Limit]
+	// wake makes loop ask the state once more.
+	wake chan struct{}
+}
+
+func newColdTarget(f *Forwarder) *coldTarget {
+	return &coldTarget{forwarder: f, state: blwarmup.New(f.startedAt), wake: make(chan struct{}, 1)}
+}
+
+// loop changes the limit when it is due, and sends the health checks, until ctx ends.
+func (c *coldTarget) loop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-timer.C:
+		}
+		now := time.Now()
+		check, next := c.advance(now)
+		if check != nil {
+			c.forwarder.tasks.Go(func() { check.run(ctx) })
+		}
+		if !next.IsZero() {
+			timer.Reset(next.Sub(now))
+		}
+	}
+}
+
+// advance returns the health check that is due, or nil, and when to call it again; zero for only after an observation.
+func (c *coldTarget) advance(now time.Time) (due *healthCheck, next time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if openedBefore, asked := c.state.SurvivorsDue(now); asked {
+		c.state.ObserveSurvivors(c.forwarder.pools.Of(c.forwarder.settings.targetAddress).AnyIdle(openedBefore))
+	}
+	if c.state.CheckDue(now) {
+		due = &healthCheck{target: c, check: c.state.StartCheck(now), path: c.service().HealthPath()}
+	}
+	c.apply(now)
+	next, _ = c.state.NextChange(now)
+	return due, next
+}
+
+// service returns the settings of the target's service; empty without a routing table.
+func (c *coldTarget) service() basillift.ServiceLimits {
+	table := c.forwarder.tables.Current()
+	if table == nil {
+		return basillift.ServiceLimits{}
+	}
+	s, _ := table.Service(c.forwarder.settings.service)
+	return s
+}
+
+// targetsChanged observes the settings of the service, the entry of the target and evacuations. It must be called after each
+// change of these.
+func (c *coldTarget) targetsChanged(now time.Time) {
+	service := c.service()
+	_, _, limited := service.ColdStart()
+	if !limited && !c.active.Load() {
+		return
+	}
+	c.active.Store(limited)
+	f := c.forwarder
+	c.observe(now, func(s *blwarmup.State) {
+		s.ObserveService(now, service)
+		if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
+			s.ObserveEntry(now, e)
+		}
+		_, evacuated := f.evacuations.Evacuated(f.settings.domain)
+		s.ObserveEvacuation(evacuated)
+		if ended, known := f.evacuations.EvacuationEnded(f.settings.domain); known {
+			s.ObserveEvacuationEnd(now, ended)
+		}
+	})
+}
+
+// observeRefused records that the target refused a connection.
+func (c *coldTarget) observeRefused(now time.Time) {
+	if c.active.Load() {
+		c.observe(now, func(s *blwarmup.State) { s.ObserveRefused(now) })
+	}
+}
+
+// observeConnection records a connection to the target that a request will use. If the target had closed all idle ones, it may
+// have started again.
+func (c *coldTarget) observeConnection(conn *blpool.Conn) {
+	if !c.active.Load() {
+		return
+	}
+	if since, closed := conn.Replaces(); closed {
+		now := time.Now()
+		c.observe(now, func(s *blwarmup.State) { s.ObserveBroken(now, since) })
+	}
+}
+
+// observeError records the failure of a request that was sent to the target on a connection.
+func (c *coldTarget) observeError(now time.Time, conn *blpool.Conn, err error) {
+	if c.active.Load() && isDisconnect(err) {
+		c.observe(now, func(s *blwarmup.State) { s.ObserveBroken(now, conn.UsedBefore()) })
+	}
+}
+
+// observeAnswer records an answer of the target to a request that was sent at the given time. It costs nothing while the state
+// of the target is known.
+func (c *coldTarget) observeAnswer(now, began time.Time, conn *blpool.Conn) {
+	if limit := c.limit.Load(); limit != nil && limit.Cause() != blwarmup.CauseNone {
+		c.observe(now, func(s *blwarmup.State) { s.ObserveAnswer(now, conn.Opened(), began) })
+	}
+}
+
+// observe passes an observation to the state and applies what follows from it.
+func (c *coldTarget) observe(now time.Time, observation func(*blwarmup.State)) {
+	c.mutex.Lock()
+	observation(c.state)
+	c.apply(now)
+	c.mutex.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// apply makes the admission keep the limit, and logs when it begins and ends. It must be called with the mutex held.
+func (c *coldTarget) apply(now time.Time) {
+	before, limit := c.limit.Load(), c.state.Limit(now)
+	c.forwarder.admission.setColdLimit(now, limit.PerSecond(), limit.Active())
+	switch {
+	case limit.Active():
+		c.limit.Store(&limit)
+	case before != nil:
+		c.limit.Store(nil)
+	}
+	if limit.Active() != (before != nil) {
+		c.logChange(now, limit)
+	}
+}
+
+func (c *coldTarget) logChange(now time.Time, limit blwarmup.Limit) {
+	f := c.forwarder
+	if f.log == nil {
+		return
+	}
+	instance := f.ownTarget("").Instance()
+	if !limit.Active() {
+		f.log.Event(bllog.TargetWarm()).Str("instance", instance).Send()
+		return
+	}
+	f.log.Event(bllog.TargetCold()).Str("instance", instance).Float64("requests_per_second", limit.PerSecond()).
+		Int64("remaining_ms", limit.Until().Sub(now).Milliseconds()).Str("unknown_after", string(limit.Cause())).Send()
+}
+
+// report adds the limit to a load report.
+func (c *coldTarget) report(now time.Time, l basillift.Load) basillift.Load {
+	limit := c.limit.Load()
+	if limit == nil {
+		return l
+	}
+	return l.WithColdLimit(limit.PerSecond(), max(0, limit.Until().Sub(now)))
+}
+
+// explain describes the limit in one line; no line without a limit.
+func (c *coldTarget) explain(now time.Time) []string {
+	limit := c.limit.Load()
+	if limit == nil {
+		return nil
+	}
+	reason := "it is cold"
+	if limit.Cause() != blwarmup.CauseNone {
+		reason = "not known whether it is cold after " + string(limit.Cause())
+	}
+	return []string{fmt.Sprintf("target of this VM: gets %.3g requests per second for up to %s: %s",
+		limit.PerSecond(), limit.Until().Sub(now).Round(time.Millisecond), reason)}
+}
+
+// coldStart returns the cold start of a service by the routing table in force.
+func (f *Forwarder) coldStart(service string) (warmup time.Duration, perSecond float64, limited bool) {
+	table := f.tables.Current()
+	if table == nil {
+		return 0, 0, false
+	}
+	s, _ := table.Service(service)
+	return s.ColdStart()
+}
+
+// isDisconnect reports whether an error means that the peer closed or reset the connection, as opposed to a timeout or a
+// malformed answer.
+func isDisconnect(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- a/basillift/blforwarder/explain.go
+++ b/basillift/blforwarder/explain.go
@@ -18,7 +18,7 @@
 	if !found {
 		return nil
 	}
-	var lines []string
+	lines := f.cold.explain(now)
 	query := blbalance.NewRequest(route.Name(), f.answerSizes.expectedBytes(route.Name()), now.Add(route.LatencyObjective()))
 	for _, s := range route.Services() {
 		targets := f.fleet.Targets(s.Service())
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -29,6 +29,7 @@
 	WithRequest("X-Id", "X-Deadline", "X-Instance", "X-Caller").
 	WithAnswer("X-Seal", "X-Not-Run").
 	WithAdvisory("X-Limit", "X-Leaving").
+	WithHealth("X-Cold", "X-Runs-As").
 	WithReady("/ready")
 
 // script answers one request of a fake target by writing bytes to its connection. It returns false to close the
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -43,9 +43,13 @@
 	admission *admission
 	// advisories is what the targets say about themselves.
 	advisories *bladvisory.Tracker
-	crashes    *crashDetector
-	quarantine *quarantine
-	announcer  *suspicionAnnouncer
+	// cold limits the requests to the VM's own target while that is cold.
+	cold *coldTarget
+	// evacuations says which failure domains are evacuated.
+	evacuations evacuations
+	crashes     *crashDetector
+	quarantine  *quarantine
+	announcer   *suspicionAnnouncer
 	// transfers is nil unless the VM's link is slow.
 	transfers    *transferQueue
 	answerSizes  *answerSizes
@@ -88,11 +92,13 @@
 func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *Forwarder {
 	advisories := bladvisory.New()
 	f := &Forwarder{
-		settings: s, tables: tables, fleet: fleet, startedAt: time.Now(),
+		settings: s, tables: tables, fleet: fleet, startedAt: time.Now(), evacuations: noEvacuations{},
 		splitter: bltable.NewSplitter(rnd), balancer: blbalance.New(s.domain, advisories, rand.New(rand.NewSource(rnd.Int63()))),
 		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
 	}
 	f.crashes = newCrashDetector(f.pools.Of(s.targetAddress))
+	f.cold = newColdTarget(f)
+	f.balancer.SetColdStarts(f.coldStart, func(d basillift.FailureDomain) (time.Time, bool) { return f.evacuations.EvacuationEnded(d) })
 	f.quarantine = newQuarantine(f.crashes.fingerprints)
 	f.announcer = newSuspicionAnnouncer(f, rand.New(rand.NewSource(rnd.Int63())))
 	f.drainPeriod.Store(int64(s.drainPeriod))
@@ -140,6 +146,7 @@
 	f.tasks.Go(func() { f.callerServer.loop(f.callerContext) })
 	f.announcer.resync(time.Now())
 	f.tasks.Go(func() { f.announcer.loop(ctx) })
+	f.tasks.Go(func() { f.cold.loop(ctx) })
 	f.tasks.Go(func() { _ = f.readyServer.Serve(f.readyListener) })
 	f.loop(ctx)
 	f.cancelFeeds()
@@ -196,6 +203,7 @@
 		}
 		f.applyRequestLimit(now, e)
 	}
+	f.cold.targetsChanged(now)
 	f.accepted.lowerInstances(f.leavingLimits)
 	if t := f.tables.Current(); t != nil {
 		f.splitter.Retain(t)
--- a/basillift/blforwarder/headers.go
+++ b/basillift/blforwarder/headers.go
@@ -16,6 +16,9 @@
 	headerHop = "Basillift-Hop"
 	// headerLoad carries the load report of the target.
 	headerLoad = "Basillift-Load"
+	// headerCold carries the limit of a cold target beside its load report: requests per second, and the remaining time in
+	// microseconds. Daemons that do not know it ignore it; they would not read a load report with further values.
+	headerCold = "Basillift-Cold"
 	// headerPermit marks a request that only asks for a reservation for a large body. On the wire a reservation is
 	// called a permit.
 	headerPermit = "Basillift-Permit"
@@ -161,6 +164,26 @@
 	return text + formatAdvisory(l.Advisory())
 }
 
+// appendColdLimit appends the field headerCold for a cold target.
+func appendColdLimit(b []byte, l basillift.Load) []byte {
+	perSecond, remaining, limited := l.ColdLimit()
+	if !limited {
+		return b
+	}
+	return appendField(b, headerCold, strconv.FormatFloat(perSecond, 'g', -1, 64)+" "+formatMicroseconds(remaining))
+}
+
+// parseColdLimit is the inverse of appendColdLimit. It returns a load without a cold limit if the text is not a valid one.
+func parseColdLimit(l basillift.Load, text string) basillift.Load {
+	limit, remaining, _ := strings.Cut(text, " ")
+	perSecond, valid := parseRequestLimit(limit)
+	microseconds, err := strconv.ParseInt(remaining, 10, 64)
+	if !valid || err != nil || microseconds < 0 || microseconds > maxColdTime.Microseconds() {
+		return l
+	}
+	return l.WithColdLimit(perSecond, time.Duration(microseconds)*time.Microsecond)
+}
+
 // parseLoad returns nil if the text is not a valid load report.
 func parseLoad(text string) *basillift.Load {
 	fields, advisory := cutAdvisory(strings.Fields(text))
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -8,6 +8,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blretry"
+	"basillift.dev/basillift/blwarmup"
 )
 
 // counters holds the metrics of one forwarder. Each has its own set, so that several forwarders in one process do not
@@ -40,6 +41,18 @@
 		}
 		return 0
 	})
+	set.NewGauge("basillift_target_cold", func() float64 {
+		if f.cold.limit.Load() != nil {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("basillift_target_cold_limit_per_second", func() float64 {
+		if limit := f.cold.limit.Load(); limit != nil {
+			return limit.PerSecond()
+		}
+		return 0
+	})
 	set.NewGauge("basillift_requests_quarantined", func() float64 { return float64(len(f.quarantine.quarantines(time.Now()))) })
 	set.NewGauge("basillift_table_version", func() float64 {
 		if t := f.tables.Current(); t != nil {
@@ -80,5 +93,10 @@
 	c.set.GetOrCreateCounter(`basillift_attempts_total{ending="` + string(result) + `"}`).Inc()
 }
 
+// countHealthCheck counts a health check of the VM's own target by its result.
+func (c *counters) countHealthCheck(r blwarmup.HealthResult) {
+	c.set.GetOrCreateCounter(`basillift_health_checks_total{result="` + string(r) + `"}`).Inc()
+}
+
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (f *Forwarder) WriteMetrics(w io.Writer) { f.counters.set.WritePrometheus(w) }
--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -9,7 +9,7 @@
 	"basillift.dev/basillift/bladmit"
 )
 
-// noRequestLimit is the limit of a target that names none.
+// noRequestLimit is the limit of a target that names none, or is not cold.
 const noRequestLimit = -1
 
 // minDispatchDelay is added where the next start is due already by rounding.
@@ -25,12 +25,14 @@
 	lastID  uint64
 	// requestLimit is the target's limit in requests per second; negative without a limit.
 	requestLimit float64
+	// coldLimit is the limit of a cold target in requests per second; negative without a limit.
+	coldLimit float64
 	// dispatchTimer starts the next request that the request limit delays; nil if there is none.
 	dispatchTimer *time.Timer
 }
 
 func newSlotQueue(slots int) slotQueue {
-	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan bool), requestLimit: noRequestLimit}
+	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan bool), requestLimit: noRequestLimit, coldLimit: noRequestLimit}
 }
 
 // acquire waits for a slot. It returns the slot's id, or the refusal. slotRequest is called again when the accepted
@@ -124,6 +126,20 @@
 	sq.notify(now, sq.queue.SetRequestLimit(now, perSecond, limited))
 }
 
+// setColdLimit sets how many requests per second the target gets because it is or may be cold.
+func (sq *slotQueue) setColdLimit(now time.Time, perSecond float64, limited bool) {
+	if !limited {
+		perSecond = noRequestLimit
+	}
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	if perSecond == sq.coldLimit {
+		return
+	}
+	sq.coldLimit = perSecond
+	sq.notify(now, sq.queue.SetColdLimit(now, perSecond, limited))
+}
+
 // notify tells waiting requests that they start, refuses those that cannot start in time any more, and sets the timer for
 // the next start. It must be called after each change of the queue.
 func (sq *slotQueue) notify(now time.Time, started []uint64) {
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -222,7 +222,10 @@
 	e := &exchange{
 		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline,
 		requestID: r.header(names.RequestID()), idHeader: names.RequestID(), notRunHeader: names.NotRun(),
-		begun: func() { f.crashes.start(run) },
+	}
+	e.begun = func() {
+		f.crashes.start(run)
+		f.cold.observeConnection(e.conn)
 	}
 	requestCtx := ctx
 	if !meta.retryable {
@@ -232,11 +235,13 @@
 	received, err := e.run(requestCtx, now)
 	if err != nil {
 		if !e.unsent && !isTimeout(err) {
+			f.cold.observeError(time.Now(), e.conn, err)
 			f.crashes.detect(run, func(ended []*targetRun) { f.recordCrash(time.Now(), ended) })
 		}
 		return t.answerForError(time.Now(), e, err), false
 	}
 	f.crashes.end(run)
+	f.cold.observeAnswer(time.Now(), now, e.conn)
 	if received.status != http.StatusMisdirectedRequest {
 		f.observeOwnAnswer(time.Now(), meta.instance, &received.answer)
 	}
@@ -250,6 +255,7 @@
 // recordCrash records that the VM's own target crashed and ended these requests.
 func (f *Forwarder) recordCrash(now time.Time, ended []*targetRun) {
 	f.admission.markDown(now)
+	f.cold.observeRefused(now)
 	f.counters.crashes.Inc()
 	if f.log != nil {
 		f.log.Event(bllog.TargetCrashed()).Str("instance", f.ownTarget("").Instance()).Int("requests", len(ended)).Send()
@@ -279,6 +285,7 @@
 	switch {
 	case e.unsent && errors.Is(err, syscall.ECONNREFUSED):
 		f.admission.markDown(now)
+		f.cold.observeRefused(now)
 		return notRunAnswer(basillift.ReasonNoTarget, downPause)
 	case e.unsent:
 		return notRunAnswer(basillift.ReasonConnectFailed, 0)
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -96,6 +96,7 @@
 	if t.forwarder.transfers != nil {
 		l = l.WithSlowLink(t.forwarder.transfers.backlog(now))
 	}
+	l = t.forwarder.cold.report(now, l)
 	return &l
 }
 
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(), PlatformRestored(),
-		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
+		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), TargetCold(), TargetWarm(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
 	}
 }
 
@@ -129,6 +129,16 @@
 	return Entry{403, zerolog.WarnLevel, "target crashed while it ran requests", "none if the target was stopped on purpose; otherwise look at its own log"}
 }
 
+// TargetCold is logged when the VM's target begins to get fewer requests because it is or may be cold.
+func TargetCold() Entry {
+	return Entry{410, zerolog.InfoLevel, "target is limited as cold", "none; if it stays, see docs/OPERATIONS.md, a target that stays cold"}
+}
+
+// TargetWarm is logged when the VM's target gets all requests again after it was or may have been cold.
+func TargetWarm() Entry {
+	return Entry{411, zerolog.InfoLevel, "target is no longer limited as cold", "none"}
+}
+
 // NoticeFailed is logged when a notice cannot be delivered.
 func NoticeFailed() Entry {
 	return Entry{500, zerolog.WarnLevel, "notice not delivered", "check the setting notify and its receiver"}
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -34,8 +34,9 @@
 	onRead    func()
 	opened    time.Time
 	idleSince time.Time
-	// closedSince is since when an idle connection was unused that the peer had closed when this one was opened instead; zero
-	// if there was none.
+	// openedWhenIdle is how many connections the pool had opened when this one became idle.
+	openedWhenIdle uint64
+	// closedSince is the value of Replaces; zero for none.
 	closedSince time.Time
 	// maxIdle is how long the connection may stay idle. The server can shorten it.
 	maxIdle time.Duration
@@ -190,11 +191,20 @@
 	return pending, nil
 }
 
-// Opened returns when the opening of the connection began.
+// Opened returns when the connection was opened.
 func (c *Conn) Opened() time.Time { return c.opened }
 
-// Replaces reports whether the connection was opened because the peer had closed all idle ones. It may have done so at any
-// time since the returned one, when the least recently used of them was used last.
+// UsedBefore returns when the last call before the current one ended, or when the connection was opened: a time at which the peer
+// was there.
+func (c *Conn) UsedBefore() time.Time {
+	if c.idleSince.IsZero() {
+		return c.opened
+	}
+	return c.idleSince
+}
+
+// Replaces reports whether the connection was opened because the peer had closed all idle ones, and none from before was in use.
+// The peer may have closed them at any time since the returned one, when the least recently used of them was used last.
 func (c *Conn) Replaces() (since time.Time, closed bool) {
 	return c.closedSince, !c.closedSince.IsZero()
 }
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,7 +59,7 @@
 // Get returns an idle connection that is still usable, or opens a new one. It discards idle connections that are
 // expired or unusable. The error wraps ErrTooManyConnections if no connection may be opened.
 func (p *Pool) Get(now, deadline time.Time) (*Conn, error) {
-	var closedSince time.Time
+	var closed *Conn
 	for {
 		c := p.takeIdle()
 		if c == nil {
@@ -69,13 +70,13 @@
 			return c, nil
 		}
 		if !expired {
-			closedSince = c.idleSince
+			closed = c
 		}
 		p.Discard(c)
 	}
 	c, err := p.dial(now, deadline)
-	if err == nil {
-		c.closedSince = closedSince
+	if err == nil && closed != nil && !p.anyOlderThan(closed) {
+		c.closedSince = closed.idleSince
 	}
 	return c, err
 }
@@ -112,10 +113,25 @@
 		p.release()
 		return nil, err
 	}
-	c.opened = now
+	c.opened = time.Now()
 	return c, nil
 }
 
+// AnyIdle reports whether a usable connection is idle that was opened before the given time.
+func (p *Pool) AnyIdle(openedBefore time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.ContainsFunc(p.idle, func(c *Conn) bool { return c.opened.Before(openedBefore) && c.Usable() })
+}
+
+// anyOlderThan reports whether a connection is in use that was opened before the given one became idle: more are in use than were
+// opened since then.
+func (p *Pool) anyOlderThan(c *Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return uint64(p.openConnections-len(p.idle)) > p.opened-c.openedWhenIdle
+}
+
 func (p *Pool) reserve() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -142,6 +158,7 @@
 		p.Discard(c)
 		return
 	}
+	c.openedWhenIdle = p.opened
 	p.idle = append(p.idle, c)
 	p.mutex.Unlock()
 }
--- a/basillift/blwarmup/doc.go
+++ b/basillift/blwarmup/doc.go
@@ -7,6 +7,8 @@
 // target holds. It ends with the answer to a health check, which says exactly how long the target stays cold, or once the target
 // was reachable for a whole warm-up: it had started before then.
 //
+// A broken connection alone is explained by another one from before that is still open: the target has not ended then.
+//
 // Health checks cost the target something. One is due only to resolve an unknown state, the next one after a delay that doubles with each
 // failure, and only one within a warm-up if nothing but a broken connection made the state unknown.
 //
@@ -20,6 +22,9 @@
 //	state.ObserveService(now, limits)                     // the settings of the service in the routing table
 //	state.ObserveEntry(now, endpoint)                     // the target's entry in the registry
 //	state.ObserveRefused(now)                             // the target refused a connection
+//	if openedBefore, due := state.SurvivorsDue(now); due {
+//		state.ObserveSurvivors(pool.AnyIdle(openedBefore))
+//	}
 //	if state.CheckDue(now) {
 //		check := state.StartCheck(now)
 //		state.EndCheck(now, check, blwarmup.NewHealthAnswer(instance, coldFor))
--- a/basillift/blwarmup/observe.go
+++ b/basillift/blwarmup/observe.go
@@ -74,11 +74,11 @@
 func (s *State) ObserveRefused(now time.Time) { s.becomeUnknown(now, CauseRefused) }
 
 // ObserveBroken records that the connection of a request broke before its answer. The target may have ended and started again
-// since the request began.
-func (s *State) ObserveBroken(now, began time.Time) {
+// since the connection was used before.
+func (s *State) ObserveBroken(now, usedBefore time.Time) {
 	s.expire(now)
-	if s.cause == CauseNone || began.Before(s.brokenSince) {
-		s.brokenSince = began
+	if s.cause == CauseNone || usedBefore.Before(s.brokenSince) {
+		s.brokenSince = usedBefore
 	}
 	s.becomeUnknown(now, CauseBroken)
 }
@@ -91,7 +91,7 @@
 		return
 	}
 	if s.cause == CauseBroken && opened.Before(s.brokenSince) {
-		s.cause, s.restartExpected = CauseNone, false
+		s.endBroken()
 		return
 	}
 	if s.reachableSince.IsZero() {
--- a/basillift/blwarmup/state.go
+++ b/basillift/blwarmup/state.go
@@ -40,8 +40,10 @@
 	// cause is CauseNone while the state is known.
 	cause        Cause
 	unknownSince time.Time
-	// brokenSince is when the first request began whose connection broke, if cause is CauseBroken.
+	// brokenSince is the earliest time at which one of the broken connections had been used before, if cause is CauseBroken.
 	brokenSince time.Time
+	// survivorsAsked is set once it was found that no other connection has outlived the broken one.
+	survivorsAsked bool
 	// reachableSince is when the target was first reachable since the state became unknown; zero if it was not.
 	reachableSince time.Time
 	// coldUntil is the end of the last known cold phase.
@@ -113,6 +115,9 @@
 	if s.mayCheck() && s.checks.at.Before(at) {
 		at = s.checks.at
 	}
+	if s.awaitsSurvivors() {
+		at = s.unknownSince.Add(survivorDelay)
+	}
 	return at, true
 }
 
@@ -136,7 +141,7 @@
 func (s *State) becomeUnknown(now time.Time, c Cause) {
 	s.expire(now)
 	previous := s.cause
-	s.unknownSince, s.reachableSince, s.restartExpected = now, time.Time{}, true
+	s.unknownSince, s.reachableSince, s.restartExpected, s.survivorsAsked = now, time.Time{}, true, false
 	switch {
 	case c == CauseBroken && previous == CauseNone:
 		s.cause = c
--- a/basillift/blwarmup/state_test.go
+++ b/basillift/blwarmup/state_test.go
@@ -12,12 +12,16 @@
 const (
 	warmup    = 3 * time.Second
 	perSecond = 11.0
+	// warm is the cause in a step after which there is no limit.
+	warm Cause = "warm"
 )
 
 var baseTime = time.Unix(1_800_000_000, 0)
 
 func at(d time.Duration) time.Time { return baseTime.Add(d) }
 
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
 var coldService = basillift.NewServiceLimits("s", "/h", 100).WithColdStart(warmup, perSecond)
 
 // entryOf returns the entry of a target that started at a time.
@@ -32,287 +36,138 @@
 	return s
 }
 
-// known returns a state that a health answer has made known.
-func known(coldFor time.Duration) *State {
-	s := started()
-	s.check(baseTime, NewHealthAnswer("i", coldFor))
-	return s
-}
-
-func (s *State) check(now time.Time, a HealthAnswer) HealthResult {
-	return s.EndCheck(now, s.StartCheck(now), a)
+// observation is what happens at a time. The functions below return the kinds of them.
+type observation func(s *State, now time.Time)
+
+func nothing(*State, time.Time)               {}
+func refused(s *State, now time.Time)         { s.ObserveRefused(now) }
+func survived(s *State, _ time.Time)          { s.ObserveSurvivors(true) }
+func died(s *State, _ time.Time)              { s.ObserveSurvivors(false) }
+func evacuationEnded(s *State, now time.Time) { s.ObserveEvacuationEnd(now, now) }
+func evacuated(s *State, _ time.Time)         { s.ObserveEvacuation(true) }
+func broken(began int) observation {
+	return func(s *State, now time.Time) { s.ObserveBroken(now, at(ms(began))) }
 }
 
-// assertLimit checks the limit at a time: its cause and its end.
-func assertLimit(t *testing.T, s *State, d time.Duration, want Cause, until time.Duration) {
-	t.Helper()
-	is := is.New(t)
-	l := s.Limit(at(d))
-	is.True(l.Active())
-	is.Equal(l.PerSecond(), perSecond)
-	is.Equal(l.Cause(), want)
-	is.Equal(l.Until(), at(until))
+func answered(opened, began int) observation {
+	return func(s *State, now time.Time) { s.ObserveAnswer(now, at(ms(opened)), at(ms(began))) }
 }
 
-func assertNoLimit(t *testing.T, s *State, d time.Duration) {
-	t.Helper()
-	if l := s.Limit(at(d)); l.Active() {
-		t.Errorf("limited until %s because of %s, want no limit", l.Until().Sub(baseTime), l.Cause())
+func entry(instance string, startedAt int, sequence uint64, coldLeft int) observation {
+	return func(s *State, now time.Time) {
+		s.ObserveEntry(now, entryOf(instance, ms(startedAt), sequence, ms(coldLeft)))
 	}
 }
 
-func TestServiceWithoutColdStart(t *testing.T) {
-	is := is.New(t)
-	s := New(baseTime)
-	s.ObserveService(baseTime, basillift.NewServiceLimits("s", "/h", 100))
-	s.ObserveRefused(at(time.Second))
-	assertNoLimit(t, s, 2*time.Second)
-	is.True(!s.CheckDue(at(2 * time.Second)))
-	_, changes := s.NextChange(at(2 * time.Second))
-	is.True(!changes)
-	s.ObserveService(at(3*time.Second), coldService)
-	assertLimit(t, s, 3*time.Second, CauseStart, 6*time.Second)
-}
-
-// Guards against a cold target at full rate after the start of its daemon, and a warm one that is limited for long.
-func TestStartOfDaemon(t *testing.T) {
-	t.Run("a health answer of a warm target ends the limit", func(t *testing.T) {
-		is := is.New(t)
-		s := started()
-		assertLimit(t, s, 0, CauseStart, warmup)
-		is.True(s.CheckDue(baseTime))
-		c := s.StartCheck(baseTime)
-		is.True(!s.CheckDue(at(time.Second)))
-		is.Equal(s.EndCheck(at(4*time.Millisecond), c, NewHealthAnswer("i", 0)), HealthKnown)
-		assertNoLimit(t, s, 4*time.Millisecond)
-		is.True(!s.CheckDue(at(time.Hour)))
-	})
-	t.Run("a health answer of a cold target sets its end", func(t *testing.T) {
-		s := known(1700 * time.Millisecond)
-		assertLimit(t, s, time.Second, CauseNone, 1700*time.Millisecond)
-		assertNoLimit(t, s, 1700*time.Millisecond)
-	})
-	t.Run("without health answers a warm-up after the first contact", func(t *testing.T) {
-		s := started()
-		assertLimit(t, s, time.Hour, CauseStart, time.Hour+warmup)
-		s.ObserveAnswer(at(time.Hour), baseTime, baseTime.Add(-time.Second))
-		assertLimit(t, s, time.Hour, CauseStart, time.Hour+warmup)
-		s.ObserveAnswer(at(time.Hour), baseTime, at(time.Minute))
-		assertLimit(t, s, time.Hour+time.Second, CauseStart, time.Hour+warmup)
-		assertNoLimit(t, s, time.Hour+warmup)
-	})
-	t.Run("an entry extends the limit of an unknown state only by a later cold phase", func(t *testing.T) {
-		s := started()
-		s.ObserveAnswer(baseTime, baseTime, baseTime)
-		s.ObserveEntry(at(2*time.Second), entryOf("i", -time.Second, 1, warmup))
-		assertLimit(t, s, 2*time.Second, CauseStart, warmup)
-		s.ObserveEntry(at(2900*time.Millisecond), entryOf("i", -time.Second, 2, warmup))
-		assertLimit(t, s, 2900*time.Millisecond, CauseStart, 5900*time.Millisecond)
-		assertLimit(t, s, warmup, CauseNone, 5900*time.Millisecond)
-	})
-	t.Run("a target that was reached before it started by its entry", func(t *testing.T) {
-		s := started()
-		s.ObserveAnswer(baseTime, baseTime, baseTime)
-		s.ObserveEntry(at(time.Second), entryOf("i", 500*time.Millisecond, 1, 0))
-		assertLimit(t, s, 3*time.Second, CauseStart, 6*time.Second)
-	})
-}
-
-// Guards against a target that starts again and gets requests at full rate.
-func TestRestartOfTarget(t *testing.T) {
-	t.Run("it refused a connection", func(t *testing.T) {
-		s := known(0)
-		s.ObserveRefused(at(time.Second))
-		assertLimit(t, s, 10*time.Second, CauseRefused, 13*time.Second)
-		s.ObserveAnswer(at(10*time.Second), at(10*time.Second), at(10*time.Second))
-		assertLimit(t, s, 12*time.Second, CauseRefused, 13*time.Second)
-	})
-	t.Run("it refused a connection once more after it was reached", func(t *testing.T) {
-		s := known(0)
-		s.ObserveRefused(at(time.Second))
-		s.ObserveAnswer(at(2*time.Second), at(2*time.Second), at(2*time.Second))
-		s.ObserveRefused(at(4 * time.Second))
-		assertLimit(t, s, 6*time.Second, CauseRefused, 9*time.Second)
-	})
-	t.Run("the answer to a check from before is ignored", func(t *testing.T) {
-		is := is.New(t)
-		s := started()
-		c := s.StartCheck(baseTime)
-		s.ObserveRefused(at(time.Millisecond))
-		is.Equal(s.EndCheck(at(2*time.Millisecond), c, NewHealthAnswer("i", 0)), HealthStale)
-		assertLimit(t, s, 3*time.Millisecond, CauseStart, warmup+3*time.Millisecond)
-	})
-	t.Run("only its entry shows it, under the same instance", func(t *testing.T) {
-		s := known(0)
-		s.ObserveEntry(at(time.Second), entryOf("i", -time.Minute, 9, 0))
-		assertNoLimit(t, s, time.Second)
-		s.ObserveEntry(at(5*time.Second), entryOf("i", 4*time.Second, 1, 2800*time.Millisecond))
-		assertLimit(t, s, 5*time.Second, CauseNewRun, 8*time.Second)
-	})
-	t.Run("its entry comes after the health answer", func(t *testing.T) {
-		s := known(0)
-		s.ObserveEntry(at(100*time.Millisecond), entryOf("i", -time.Minute, 9, 0))
-		s.ObserveRefused(at(time.Second))
-		s.check(at(3*time.Second), NewHealthAnswer("i", 2900*time.Millisecond))
-		s.ObserveEntry(at(4*time.Second), entryOf("i", 2900*time.Millisecond, 1, 2600*time.Millisecond))
-		assertLimit(t, s, 4*time.Second, CauseNone, 5900*time.Millisecond)
-		assertNoLimit(t, s, 5900*time.Millisecond)
-	})
-	t.Run("an old entry of another run comes late", func(t *testing.T) {
-		s := known(0)
-		s.ObserveEntry(at(time.Second), entryOf("other", -time.Minute, 9, 0))
-		assertLimit(t, s, time.Second, CauseNewRun, 4*time.Second)
-	})
+func healthy(instance string, coldFor int) observation {
+	return func(s *State, now time.Time) {
+		s.EndCheck(now, s.StartCheck(now), NewHealthAnswer(instance, ms(coldFor)))
+	}
 }
 
-// Guards against a cold phase of a run that began before, of which only the registry tells.
-func TestTargetBecomesColdInItsRun(t *testing.T) {
-	s := known(2 * time.Second)
-	s.ObserveEntry(at(800*time.Millisecond), entryOf("i", -time.Second, 1, 2*time.Second))
-	assertLimit(t, s, time.Second, CauseNone, 2*time.Second)
-	s.ObserveEntry(at(2300*time.Millisecond), entryOf("i", -time.Second, 2, 0))
-	assertNoLimit(t, s, 2300*time.Millisecond)
-	s.ObserveEntry(at(10*time.Second), entryOf("i", -time.Second, 7, 2500*time.Millisecond))
-	assertLimit(t, s, 10*time.Second, CauseNone, 12500*time.Millisecond)
-	s.ObserveEntry(at(11500*time.Millisecond), entryOf("i", -time.Second, 8, 0))
-	assertNoLimit(t, s, 11500*time.Millisecond)
+// step is an observation at a time in ms, and what follows: the cause of an unknown state, or CauseNone while the target is known to be
+// cold, with the end of the limit; or warm.
+type step struct {
+	at    int
+	do    observation
+	want  Cause
+	until int
 }
 
-// Guards against a restart that shows only as a lost connection, and against a target that loses answers, is limited for long
-// and gets many health checks.
-func TestBrokenConnection(t *testing.T) {
-	t.Run("the target may have started again", func(t *testing.T) {
-		s := known(0)
-		s.ObserveBroken(at(time.Second), at(900*time.Millisecond))
-		assertLimit(t, s, time.Second, CauseBroken, 4*time.Second)
-		s.ObserveAnswer(at(1100*time.Millisecond), at(1050*time.Millisecond), at(1050*time.Millisecond))
-		assertLimit(t, s, 2*time.Second, CauseBroken, 4100*time.Millisecond)
-	})
-	t.Run("a connection from before that still works shows that it has not", func(t *testing.T) {
-		s := known(0)
-		s.ObserveBroken(at(time.Second), at(900*time.Millisecond))
-		s.ObserveAnswer(at(1100*time.Millisecond), at(100*time.Millisecond), at(990*time.Millisecond))
-		assertLimit(t, s, 1100*time.Millisecond, CauseBroken, 4100*time.Millisecond)
-		s.ObserveAnswer(at(1200*time.Millisecond), at(100*time.Millisecond), at(1010*time.Millisecond))
-		assertNoLimit(t, s, 1200*time.Millisecond)
-	})
-	t.Run("but not one that may be of the next run", func(t *testing.T) {
-		s := known(0)
-		s.ObserveBroken(at(time.Second), at(900*time.Millisecond))
-		s.ObserveBroken(at(1500*time.Millisecond), at(1400*time.Millisecond))
-		s.ObserveAnswer(at(1600*time.Millisecond), at(1100*time.Millisecond), at(1550*time.Millisecond))
-		assertLimit(t, s, 1600*time.Millisecond, CauseBroken, 4600*time.Millisecond)
-	})
-	t.Run("nor after the target refused a connection", func(t *testing.T) {
-		s := known(0)
-		s.ObserveBroken(at(time.Second), at(900*time.Millisecond))
-		s.ObserveRefused(at(1001 * time.Millisecond))
-		s.ObserveAnswer(at(1200*time.Millisecond), at(100*time.Millisecond), at(1010*time.Millisecond))
-		assertLimit(t, s, 1200*time.Millisecond, CauseRefused, 4200*time.Millisecond)
-	})
-	t.Run("one health check within a warm-up", func(t *testing.T) {
-		s := known(0)
-		checks := 0
-		for d := time.Duration(0); d < 30*time.Second; d += 10 * time.Millisecond {
-			if d%(200*time.Millisecond) == 0 {
-				s.ObserveBroken(at(d), at(d))
-			}
-			if s.CheckDue(at(d)) {
-				checks++
-				s.check(at(d), NewHealthAnswer("i", 0))
+// Guards against a cold target at full rate, and against a warm one that is limited for long.
+func TestState(t *testing.T) {
+	for name, steps := range map[string][]step{
+		"a health answer of a warm target": {{0, nothing, CauseStart, 3000}, {4, healthy("i", 0), warm, 0}, {90000, nothing, warm, 0}},
+		"a health answer of a cold target": {{0, healthy("i", 1700), CauseNone, 1700}, {1699, nothing, CauseNone, 1700}, {1700, nothing, warm, 0}},
+		"a warm-up after the first contact": {
+			{60000, answered(0, -1), CauseStart, 63000},
+			{60000, answered(0, 1), CauseStart, 63000},
+			{62999, nothing, CauseStart, 63000},
+			{63000, nothing, warm, 0},
+		},
+		"a later cold phase by an entry of an unknown state": {
+			{0, answered(0, 0), CauseStart, 3000},
+			{2000, entry("i", -1000, 1, 3000), CauseStart, 3000},
+			{2900, entry("i", -1000, 2, 3000), CauseStart, 5900},
+			{3000, nothing, CauseNone, 5900},
+		},
+		"reached before it started by its entry": {{0, answered(0, 0), CauseStart, 3000}, {1000, entry("i", 500, 1, 0), CauseStart, 4000}},
+		"a refused connection":                   {{0, healthy("i", 0), warm, 0}, {1000, refused, CauseRefused, 4000}, {9000, answered(9000, 9000), CauseRefused, 12000}, {12000, nothing, warm, 0}},
+		"refused once more after it was reached": {{0, healthy("i", 0), warm, 0}, {1000, refused, CauseRefused, 4000}, {2000, answered(2000, 2000), CauseRefused, 5000}, {4000, refused, CauseRefused, 7000}, {6000, nothing, CauseRefused, 9000}},
+		"a new run under the same instance":      {{0, healthy("i", 0), warm, 0}, {1000, entry("i", -60000, 9, 0), warm, 0}, {5000, entry("i", 4000, 1, 2800), CauseNewRun, 8000}},
+		"an entry after the health answer":       {{100, entry("i", -60000, 9, 0), CauseStart, 3100}, {1000, refused, CauseStart, 4000}, {3000, healthy("i", 2900), CauseNone, 5900}, {4000, entry("i", 2900, 1, 2600), CauseNone, 5900}},
+		"an old entry of another instance":       {{0, healthy("i", 0), warm, 0}, {1000, entry("other", -60000, 9, 0), CauseNewRun, 4000}},
+		"another instance answers":               {{0, entry("old", -60000, 9, 0), CauseStart, 3000}, {1, healthy("new", 0), CauseStart, 3001}, {500, entry("new", -1000, 1, 900), CauseStart, 3001}, {501, healthy("new", 600), CauseNone, 1101}},
+		"cold again in its run": {
+			{0, healthy("i", 2000), CauseNone, 2000},
+			{800, entry("i", -1000, 1, 2000), CauseNone, 2000},
+			{2300, entry("i", -1000, 2, 0), warm, 0},
+			{10000, entry("i", -1000, 7, 2500), CauseNone, 12500},
+			{11500, entry("i", -1000, 8, 0), warm, 0},
+		},
+		"a broken connection":               {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1100, answered(1050, 1050), CauseBroken, 4100}, {4100, nothing, warm, 0}},
+		"an older connection answers":       {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1100, answered(100, 990), CauseBroken, 4100}, {1200, answered(100, 1010), warm, 0}},
+		"an older connection is still open": {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1002, survived, warm, 0}},
+		"no older connection is open":       {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1002, died, CauseBroken, 4002}},
+		"a connection between two breaks":   {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1500, broken(1400), CauseBroken, 4500}, {1600, answered(1100, 1550), CauseBroken, 4600}},
+		"broken, then refused":              {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1001, refused, CauseRefused, 4001}, {1200, answered(100, 1010), CauseRefused, 4200}},
+		"the end of an evacuation":          {{0, healthy("i", 0), warm, 0}, {1000, evacuationEnded, CauseEvacuation, 4000}, {1001, healthy("i", 3000), CauseNone, 4001}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := started()
+			for _, each := range steps {
+				now := at(ms(each.at))
+				each.do(s, now)
+				l := s.Limit(now)
+				if got := (step{at: each.at, want: l.Cause(), until: int(l.Until().Sub(baseTime).Milliseconds())}); l.Active() && (got.want != each.want || got.until != each.until) || !l.Active() && each.want != warm {
+					t.Fatalf("at %d ms: limited %t, cause %q, until %d ms, want %q, %d ms", each.at, l.Active(), got.want, got.until, each.want, each.until)
+				}
 			}
-		}
-		is.New(t).Equal(checks, 10)
-	})
+		})
+	}
 }
 
 // Guards against a target that is flooded with health checks, or never asked again.
 func TestHealthChecks(t *testing.T) {
-	// sent returns how many checks are sent within a time if each fails, with the target reached or not.
-	sent := func(s *State, period time.Duration, r HealthResult) (checks int) {
-		for d := time.Duration(0); d < period; d += time.Millisecond {
-			if s.CheckDue(at(d)) {
-				checks++
-				s.check(at(d), NewHealthFailure(r))
+	for name, c := range map[string]struct {
+		// before happens at the start, and each 200 ms if often is set.
+		before observation
+		often  bool
+		answer HealthAnswer
+		want   int
+	}{
+		"refused by the target":           {nothing, false, NewHealthFailure(HealthFailed), 7},
+		"without the header":              {nothing, false, NewHealthFailure(HealthNoHeader), 3},
+		"of a target that is down":        {nothing, false, NewHealthFailure(HealthRefused), 34},
+		"evacuated":                       {evacuated, false, NewHealthAnswer("i", 0), 0},
+		"of a target that is known":       {nothing, false, NewHealthAnswer("i", 1000), 1},
+		"for broken connections, 30 s":    {broken(0), true, NewHealthAnswer("i", 0), 11},
+		"of another instance, never seen": {entry("other", -60000, 1, 0), false, NewHealthAnswer("i", 0), 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, checks := started(), 0
+			for d := time.Duration(0); d < 30*time.Second; d += time.Millisecond {
+				if d == 0 || c.often && d%(200*time.Millisecond) == 0 {
+					c.before(s, at(d))
+				}
+				if s.CheckDue(at(d)) {
+					checks++
+					s.EndCheck(at(d), s.StartCheck(at(d)), c.answer)
+				}
 			}
-		}
-		return checks
+			is.New(t).Equal(checks, c.want)
+		})
 	}
-	t.Run("that the target refuses", func(t *testing.T) {
-		s := started()
-		is.New(t).Equal(sent(s, time.Minute, HealthFailed), 7)
-		assertNoLimit(t, s, warmup)
-	})
-	t.Run("whose answers have no header", func(t *testing.T) {
-		s := started()
-		is.New(t).Equal(sent(s, time.Minute, HealthNoHeader), 3)
-		assertNoLimit(t, s, warmup)
-	})
-	t.Run("of a target that is down", func(t *testing.T) {
-		is := is.New(t)
-		s := started()
-		is.True(sent(s, time.Minute, HealthRefused) < 70)
-		assertLimit(t, s, time.Minute, CauseStart, time.Minute+warmup)
-		s.ObserveAnswer(at(time.Minute), at(time.Minute), at(time.Minute))
-		is.True(s.CheckDue(at(time.Minute)))
-	})
-	t.Run("of another instance are ignored until its entry comes", func(t *testing.T) {
-		is := is.New(t)
+	t.Run("the answer to a check from before is ignored", func(t *testing.T) {
 		s := started()
-		s.ObserveEntry(baseTime, entryOf("old", -time.Minute, 9, 0))
-		is.Equal(s.check(at(time.Millisecond), NewHealthAnswer("new", 0)), HealthOtherInstance)
-		assertLimit(t, s, 2*time.Millisecond, CauseStart, warmup+time.Millisecond)
-		is.True(!s.CheckDue(at(500 * time.Millisecond)))
-		s.ObserveEntry(at(500*time.Millisecond), entryOf("new", -time.Second, 1, time.Second))
-		is.True(s.CheckDue(at(500 * time.Millisecond)))
-		is.Equal(s.check(at(501*time.Millisecond), NewHealthAnswer("new", 600*time.Millisecond)), HealthKnown)
-		assertLimit(t, s, 502*time.Millisecond, CauseNone, 1101*time.Millisecond)
-	})
-	t.Run("without an entry any instance counts", func(t *testing.T) {
-		assertNoLimit(t, known(0), time.Millisecond)
+		c := s.StartCheck(baseTime)
+		s.ObserveRefused(at(time.Millisecond))
+		is.New(t).Equal(s.EndCheck(at(2*time.Millisecond), c, NewHealthAnswer("i", 0)), HealthStale)
 	})
-	t.Run("are not sent without a path", func(t *testing.T) {
+	t.Run("without a cold start", func(t *testing.T) {
 		s := New(baseTime)
-		s.ObserveService(baseTime, basillift.NewServiceLimits("s", "", 0).WithColdStart(warmup, perSecond))
-		is.New(t).True(!s.CheckDue(baseTime))
+		s.ObserveService(baseTime, basillift.NewServiceLimits("s", "/h", 100))
+		_, changes := s.NextChange(at(time.Second))
+		is.New(t).True(!s.Limit(at(time.Second)).Active() && !s.CheckDue(at(time.Second)) && !changes)
 	})
 }
-
-// Guards against health checks to an evacuated target, and against a target that comes back cold from an evacuation.
-func TestEvacuation(t *testing.T) {
-	is := is.New(t)
-	s := known(0)
-	s.ObserveEvacuation(true)
-	s.ObserveRefused(at(time.Second))
-	is.True(!s.CheckDue(at(time.Minute)))
-	s.ObserveAnswer(at(2*time.Second), at(2*time.Second), at(2*time.Second))
-	assertNoLimit(t, s, 5*time.Second)
-	s.ObserveEvacuation(false)
-	s.ObserveEvacuationEnd(at(time.Minute), at(time.Minute))
-	assertLimit(t, s, time.Minute, CauseEvacuation, time.Minute+warmup)
-	is.True(s.CheckDue(at(time.Minute)))
-	s.check(at(time.Minute), NewHealthAnswer("i", time.Second))
-	s.ObserveEvacuationEnd(at(time.Minute+time.Millisecond), at(time.Minute))
-	assertLimit(t, s, time.Minute+time.Millisecond, CauseNone, time.Minute+time.Second)
-}
-
-// Guards against a limit that is not lifted because nothing happens at its end.
-func TestNextChange(t *testing.T) {
-	assertNext := func(t *testing.T, s *State, d, want time.Duration) {
-		t.Helper()
-		got, changes := s.NextChange(at(d))
-		is := is.New(t)
-		is.True(changes)
-		is.Equal(got, at(want))
-	}
-	s := started()
-	assertNext(t, s, 0, 0)
-	c := s.StartCheck(baseTime)
-	assertNext(t, s, time.Second, time.Second+warmup)
-	s.EndCheck(at(time.Second), c, NewHealthFailure(HealthFailed))
-	assertNext(t, s, time.Second, 1050*time.Millisecond)
-	s.check(at(1050*time.Millisecond), NewHealthAnswer("i", 2*time.Second))
-	assertNext(t, s, 2*time.Second, 3050*time.Millisecond)
-	_, changes := s.NextChange(at(3050 * time.Millisecond))
-	is.New(t).True(!changes)
-}
--- /dev/null
+++ b/basillift/blwarmup/survivors.go
@@ -0,0 +1,29 @@
+package blwarmup
+
+import "time"
+
+// survivorDelay is how long after a broken connection other connections are asked whether they are still open. A process that ends
+// closes its sockets one after the other.
+const survivorDelay = 2 * time.Millisecond
+
+// A broken connection alone does not mean that the target has ended: targets also break off single requests. All connections of a
+// process end with it, so one that was open before and outlives the broken one shows that the target has not started again. Without
+// this, a target that breaks off requests for some seconds would be limited all the time, and asked for its health.
+
+// SurvivorsDue reports whether it is time to find out whether a connection that was opened before the returned time is still open.
+func (s *State) SurvivorsDue(now time.Time) (openedBefore time.Time, due bool) {
+	return s.brokenSince, s.awaitsSurvivors() && !now.Before(s.unknownSince.Add(survivorDelay))
+}
+
+// ObserveSurvivors records whether there is such a connection.
+func (s *State) ObserveSurvivors(outlived bool) {
+	s.survivorsAsked = true
+	if outlived && s.cause == CauseBroken {
+		s.endBroken()
+	}
+}
+
+func (s *State) awaitsSurvivors() bool { return s.cause == CauseBroken && !s.survivorsAsked }
+
+// endBroken ends an unknown state whose only cause were broken connections: what was known before holds.
+func (s *State) endBroken() { s.cause, s.restartExpected = CauseNone, false }
