--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -16,6 +16,10 @@
 	"basillift.dev/basillift/blwarmup"
 )
 
+// maxUnknownReport bounds for how long callers' daemons count on the limit of a target that may be warm. A health answer usually ends
+// such a limit within milliseconds, and a daemon that sends nothing meanwhile would not learn that.
+const maxUnknownReport = time.Second
+
 // evacuations says which failure domains are or were evacuated.
 type evacuations interface {
 	// Evacuated returns since when a failure domain is evacuated.
@@ -204,7 +208,11 @@
 	if limit == nil {
 		return l
 	}
-	return l.WithColdLimit(limit.PerSecond(), max(0, limit.Until().Sub(now)))
+	remaining := max(0, limit.Until().Sub(now))
+	if limit.Cause() != blwarmup.CauseNone {
+		remaining = min(remaining, maxUnknownReport)
+	}
+	return l.WithColdLimit(limit.PerSecond(), remaining)
 }
 
 // explain describes the limit in one line; no line without a limit.
--- a/basillift/blforwarder/coldtarget_test.go
+++ b/basillift/blforwarder/coldtarget_test.go
@@ -250,6 +250,23 @@
 	}
 }
 
+// Guards against callers' daemons that avoid a target for a whole warm-up because its daemon did not know it yet.
+func TestReportOfUnknownStateIsShort(t *testing.T) {
+	is := is.New(t)
+	evacuation := &evacuatedDomain{}
+	c, m := startColdMesh(t, 1, evacuation)
+	remaining := func() time.Duration {
+		_, d, limited := m.forwarders[0].targetSide.loadReport().ColdLimit()
+		is.True(limited)
+		return d
+	}
+	is.True(remaining() <= maxUnknownReport)
+	c.become(time.Minute, false)
+	evacuation.end(m)
+	m.awaitCause(t, blwarmup.CauseNone)
+	is.True(remaining() > maxUnknownReport)
+}
+
 func TestParseHealthAnswer(t *testing.T) {
 	noHeader := blwarmup.NewHealthFailure(blwarmup.HealthNoHeader)
 	for text, want := range map[string]blwarmup.HealthAnswer{
