--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -1,8 +1,6 @@
 package bladmit
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -10,15 +8,6 @@
 )
 
 const (
-	// movingMeanSmoothing is the smoothing factor of the mean service time of a route.
-	movingMeanSmoothing = 1.0 / 16
-	// serviceTimeBoundDeviations is the number of mean deviations between the mean service time and its upper
-	// bound. Service times are skewed towards long ones, so the bound is this far above the mean. It is meant to
-	// let 19 of 20 admitted requests meet their soft deadline.
-	serviceTimeBoundDeviations = 2.5
-	// defaultServiceTimeFraction is the service time that is assumed for a route without observations, as a
-	// fraction of its latency objective. After a start no route has observations, and targets are usually slow.
-	defaultServiceTimeFraction = 0.5
 	// minWaitFraction is the fraction of its latency objective that a request may wait even if its soft deadline
 	// cannot be met. A wait this short does not matter to a caller that would have to retry after a refusal.
 	minWaitFraction = 0.125
@@ -32,7 +21,9 @@
 // it accepts per second. It is designed for overload: a request waits only if it is expected to start in time for its soft
 // deadline, or within a small fraction of its latency objective. Otherwise it is refused on arrival, so that it can go to
 // another target while there is time. Better ranks go first. Within a rank nested calls go first, then requests that can
-// meet their soft deadline, and among these the one with the earliest soft deadline. It is not safe for concurrent use.
+// meet their soft deadline, and among these the one with the earliest soft deadline. When not all can be in time, the heavier
+// ones give way (plan). A request may wait beyond its soft deadline in a late place if its caller's daemon allows it. It is
+// not safe for concurrent use.
 type DeadlineQueue struct {
 	slots       int
 	running     map[uint64]*deadlineEntry
@@ -43,6 +34,10 @@
 	closeReason basillift.Reason
 	// overtakingLoad measures the work of the admitted requests of each rank.
 	overtakingLoad overtakingLoad
+	protection     rankProtection
+	returns        returnOrder
+	// displaced holds the requests that gave way to a new one, until RemoveUnservable returns them.
+	displaced []uint64
 }
 
 // deadlineEntry is a request that runs or waits.
@@ -50,28 +45,16 @@
 	request SlotRequest
 	// latestStart is when a waiting request has to be refused.
 	latestStart time.Time
-	started     time.Time
-}
-
-// movingMean is an exponential moving average in seconds, with its mean deviation.
-type movingMean struct {
-	value     float64
-	deviation float64
-	count     int
-}
-
-func (m *movingMean) known() bool { return m != nil && m.count > 0 }
-
-func (m *movingMean) add(v float64) {
-	m.count++
-	if m.count == 1 {
-		m.value, m.deviation = v, v/2
-		return
-	}
-	// The first observations are averaged with equal weights, so that the first one does not dominate.
-	smoothing := max(movingMeanSmoothing, 1/float64(m.count))
-	m.deviation += (math.Abs(v-m.value) - m.deviation) * smoothing
-	m.value += (v - m.value) * smoothing
+	// due orders requests of equal rank: the soft deadline, or the deadline with a late place, as they were at the start of the
+	// wait.
+	due     time.Time
+	started time.Time
+	// work is the expected service time in seconds.
+	work float64
+	// latePlace is set for a request that waits behind all those in time.
+	latePlace bool
+	// protected is set for a request that goes first because its rank starves.
+	protected bool
 }
 
 // NewDeadlineQueue returns an empty queue for a target with the given slots.
@@ -79,9 +62,10 @@
 	return &DeadlineQueue{slots: max(1, slots), running: make(map[uint64]*deadlineEntry), routes: make(map[string]*movingMean), overtakingLoad: newOvertakingLoad()}
 }
 
-// Load returns the load report for the daemons that send requests.
+// Load returns the load report for the daemons that send requests. Late places do not count as queued, since they delay no
+// request that arrives.
 func (q *DeadlineQueue) Load() basillift.Load {
-	return basillift.NewLoad(len(q.running), len(q.waiting), q.slots, seconds(q.overall.value))
+	return basillift.NewLoad(len(q.running), len(q.waiting)-q.LateWaiting(), q.slots, seconds(q.overall.value))
 }
 
 // SetSlots sets the number of slots that the target reports, at least 1, and returns the
@@ -110,29 +94,28 @@
 // Dispatch returns the ids of the waiting requests that start.
 func (q *DeadlineQueue) Dispatch(now time.Time) []uint64 { return q.dispatch(now) }
 
-// RemoveUnservable removes the waiting requests that the request limit keeps from starting in time, since it was lowered or
-// requests of better ranks arrived. It returns their ids.
+// RemoveUnservable removes the waiting requests that are not expected to start in time any more, since requests with better
+// places arrived or the request limit was lowered. It returns their ids. One that may have a late place gets that instead if
+// it can. It has to be called after each change of the queue.
 func (q *DeadlineQueue) RemoveUnservable(now time.Time) []uint64 {
-	if !q.limit.active() {
-		return nil
+	removed := q.displaced
+	q.displaced = nil
+	if len(q.waiting) == 0 {
+		return removed
 	}
-	var removed []uint64
-	kept := q.waiting[:0]
-	for _, e := range q.waiting {
-		if now.Add(q.limit.wait(now, len(kept))).After(e.latestStart) {
+	kept, lost := q.capacity(SlotRequest{}).plan(now, q.waiting)
+	q.waiting = kept
+	for _, e := range lost {
+		if !q.placeLate(now, e) {
 			removed = append(removed, e.request.id)
-			continue
 		}
-		kept = append(kept, e)
 	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
 	return removed
 }
 
-// ServiceTimeBound is an estimated upper bound of the request's service time; single requests may exceed it.
-func (q *DeadlineQueue) ServiceTimeBound(r SlotRequest) time.Duration {
-	return seconds(q.serviceTimeBoundSeconds(r))
+// capacity describes the slots for waiting requests. Without observations r tells the mean service time.
+func (q *DeadlineQueue) capacity(r SlotRequest) capacity {
+	return capacity{slots: q.slots, free: q.slots - len(q.running), meanSeconds: q.meanServiceSeconds("", r), limit: &q.limit}
 }
 
 // Backlog is the expected wait of a request that arrives now behind all others; 0 while a slot is free.
@@ -152,24 +135,90 @@
 		return AdmissionDecision{result: AdmissionRefuse, reason: q.closeReason}
 	}
 	r.late = !r.nested && now.Add(seconds(q.serviceTimeBoundSeconds(r))).After(r.softDeadline)
-	e := &deadlineEntry{request: r}
+	e := &deadlineEntry{request: r, due: r.softDeadline, work: q.meanServiceSeconds(r.route, r)}
+	q.observeServedRatio(now, r)
 	if len(q.running) < q.slots && len(q.waiting) == 0 && q.limit.take(now) {
 		q.start(now, e)
-		q.overtakingLoad.add(now, r, q.meanServiceSeconds(r.route, r))
+		q.overtakingLoad.add(now, r, e.work)
 		return AdmissionDecision{result: AdmissionRun}
 	}
+	e.latestStart = q.latestStart(now, r)
+	if q.placeInTime(now, e) {
+		q.overtakingLoad.add(now, e.request, e.work)
+		return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
+	}
+	if q.placeLate(now, e) {
+		return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
+	}
+	return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: q.RetryAfter(now, r)}
+}
+
+// observeServedRatio records the served ratio that the caller's daemon reports with a request.
+func (q *DeadlineQueue) observeServedRatio(now time.Time, r SlotRequest) {
+	if r.servedRatioKnown && !r.nested {
+		q.protection.observe(now, r.rank, r.servedRatio)
+	}
+}
+
+// placeInTime inserts a new request into the waiting list if it is expected to start in time, also in place of a heavier one.
+// It reports whether it did.
+func (q *DeadlineQueue) placeInTime(now time.Time, e *deadlineEntry) bool {
+	rank := e.request.rank
+	if !e.request.nested && e.request.servedRatioKnown {
+		e.request.rank, e.protected = q.protection.take(now, rank)
+	}
+	if q.insertInTime(now, e) {
+		return true
+	}
+	if e.protected {
+		q.protection.giveBack()
+		e.request.rank, e.protected = rank, false
+	}
+	return false
+}
+
+// insertInTime is placeInTime for a request whose rank is decided.
+func (q *DeadlineQueue) insertInTime(now time.Time, e *deadlineEntry) bool {
 	position, _ := slices.BinarySearchFunc(q.waiting, e, compareEntries)
 	// Overtaking requests take a fraction of the slots; the requests ahead get only the rest.
-	overtaken := q.overtakingLoad.fraction(now, r, q.limit.slots(q.slots, q.meanServiceSeconds("", r)))
-	wait := time.Duration(float64(q.expectedWait(now, position, r)) / (1 - overtaken))
-	e.latestStart = q.latestStart(now, r)
-	if now.Add(wait).After(e.latestStart) {
-		retryAfter := q.limit.returnAfter(now, q.expectedWait(now, len(q.waiting), r))
-		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: retryAfter}
+	overtaken := q.overtakingLoad.fraction(now, e.request, q.usableSlots(e.request))
+	fits := func(wait time.Duration) bool {
+		return !now.Add(q.withOvertaking(wait, overtaken)).After(e.latestStart)
+	}
+	c, work := q.capacity(e.request), q.workOf(q.waiting[:position])
+	if !fits(c.wait(now, position, work)) {
+		heavy := heaviest(now, q.waiting[:position], e)
+		if heavy < 0 || !fits(c.wait(now, position-1, work-q.waiting[heavy].work)) {
+			return false
+		}
+		displaced := q.waiting[heavy]
+		q.waiting = slices.Delete(q.waiting, heavy, heavy+1)
+		position--
+		if !q.placeLate(now, displaced) {
+			q.displaced = append(q.displaced, displaced.request.id)
+		}
 	}
 	q.waiting = slices.Insert(q.waiting, position, e)
-	q.overtakingLoad.add(now, r, q.meanServiceSeconds(r.route, r))
-	return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
+	return true
+}
+
+// withOvertaking is the expected wait if requests that arrive later take a fraction of the slots first.
+func (q *DeadlineQueue) withOvertaking(wait time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(wait) / (1 - fraction))
+}
+
+// usableSlots is how many slots the request limit can keep busy.
+func (q *DeadlineQueue) usableSlots(r SlotRequest) float64 {
+	return q.limit.slots(q.slots, q.meanServiceSeconds("", r))
+}
+
+// workOf is the sum of the expected service times of entries, in seconds.
+func (q *DeadlineQueue) workOf(entries []*deadlineEntry) float64 {
+	work := 0.0
+	for _, e := range entries {
+		work += e.work
+	}
+	return work
 }
 
 // Restrict lowers the deadline of a waiting request, and the time by which it must start, to those of r, which has the same id.
@@ -185,7 +234,7 @@
 	e.latestStart = q.restrictStart(e.latestStart, e.request)
 	if now.Add(q.expectedWait(now, position, e.request)).After(e.latestStart) {
 		q.waiting = slices.Delete(q.waiting, position, position+1)
-		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: q.RetryAfter(now)}
+		return AdmissionDecision{result: AdmissionRefuse, reason: basillift.ReasonOverload, retryAfter: q.RetryAfter(now, r)}
 	}
 	return AdmissionDecision{result: AdmissionWait, waitUntil: e.latestStart}
 }
@@ -220,62 +269,9 @@
 	return latestStart
 }
 
-// serviceTimeBoundSeconds is an estimated upper bound of the request's service time.
-func (q *DeadlineQueue) serviceTimeBoundSeconds(r SlotRequest) float64 {
-	if m := q.routes[r.route]; m.known() {
-		return m.value + serviceTimeBoundDeviations*m.deviation
-	}
-	return defaultServiceTimeFraction * r.latencyObjective.Seconds()
-}
-
-// expectedWait is the wait of a request at a position of the waiting list: for the request limit, or for the mean time
-// until a slot becomes free.
+// expectedWait is the wait of a request at a position of the waiting list.
 func (q *DeadlineQueue) expectedWait(now time.Time, position int, r SlotRequest) time.Duration {
-	limitWait := q.limit.wait(now, position)
-	if position < q.slots-len(q.running) {
-		return limitWait
-	}
-	work := q.meanServiceSeconds("", r)
-	for _, e := range q.waiting[:position] {
-		work += q.meanServiceSeconds(e.request.route, e.request)
-	}
-	return max(limitWait, seconds(work/float64(q.slots)))
-}
-
-// meanServiceSeconds is the mean service time of a route. Without observations of the route it is the mean of all
-// routes, and without any observation a fraction of the request's latency objective.
-func (q *DeadlineQueue) meanServiceSeconds(route string, r SlotRequest) float64 {
-	switch m := q.routes[route]; {
-	case m.known():
-		return m.value
-	case q.overall.known():
-		return q.overall.value
-	default:
-		return defaultServiceTimeFraction * r.latencyObjective.Seconds()
-	}
-}
-
-// compareEntries orders waiting entries by rank, nested calls first, late requests last, then by soft deadline.
-func compareEntries(a, b *deadlineEntry) int {
-	if c := cmp.Compare(a.request.rank, b.request.rank); c != 0 {
-		return c
-	}
-	if a.request.nested != b.request.nested {
-		if a.request.nested {
-			return -1
-		}
-		return 1
-	}
-	if a.request.late != b.request.late {
-		if b.request.late {
-			return -1
-		}
-		return 1
-	}
-	if c := a.request.softDeadline.Compare(b.request.softDeadline); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.request.id, b.request.id)
+	return q.capacity(r).wait(now, position, q.workOf(q.waiting[:position]))
 }
 
 // Finish frees the slot of a request and returns the ids of the waiting requests that start.
@@ -292,19 +288,6 @@
 	return q.dispatch(now)
 }
 
-func (q *DeadlineQueue) observe(route string, serviceSeconds float64) {
-	q.overall.add(serviceSeconds)
-	m := q.routes[route]
-	if m == nil {
-		if len(q.routes) >= maxRoutes {
-			clear(q.routes)
-		}
-		m = &movingMean{}
-		q.routes[route] = m
-	}
-	m.add(serviceSeconds)
-}
-
 // Withdraw removes a waiting request. It reports whether the request was still waiting and thus did not run.
 func (q *DeadlineQueue) Withdraw(id uint64) bool {
 	i := q.position(id)
@@ -315,9 +298,14 @@
 	return true
 }
 
-// RetryAfter is when a refused request should come back: after the expected wait at the end of the queue.
-func (q *DeadlineQueue) RetryAfter(now time.Time) time.Duration {
-	return q.limit.returnAfter(now, q.expectedWait(now, len(q.waiting), SlotRequest{}))
+// RetryAfter is when a refused request should come back: after the expected wait behind all requests that are in time, and
+// after those of its rank that were refused before.
+func (q *DeadlineQueue) RetryAfter(now time.Time, r SlotRequest) time.Duration {
+	wait := q.expectedWait(now, len(q.waiting)-q.LateWaiting(), r)
+	if q.limit.active() {
+		return q.limit.returnAfter(now, wait)
+	}
+	return q.returns.after(now, r.rank, wait, seconds(q.meanServiceSeconds("", r)/float64(q.slots)))
 }
 
 func (q *DeadlineQueue) dispatch(now time.Time) []uint64 {
@@ -333,5 +321,6 @@
 
 func (q *DeadlineQueue) start(now time.Time, e *deadlineEntry) {
 	e.started = now
+	q.protection.started()
 	q.running[e.request.id] = e
 }
--- a/basillift/bladmit/overtakingload.go
+++ b/basillift/bladmit/overtakingload.go
@@ -62,3 +62,10 @@
 	}
 	return min(maxOvertakingFraction, sum/slots)
 }
+
+// fractionLate is the fraction of the slots that is expected to go to requests that arrive after the given one, which has a
+// late place, and precede it: all that are admitted in time.
+func (l overtakingLoad) fractionLate(now time.Time, request SlotRequest, slots float64) float64 {
+	request.rank = math.MaxInt
+	return l.fraction(now, request, slots)
+}
--- /dev/null
+++ b/basillift/bladmit/returnorder.go
@@ -0,0 +1,21 @@
+package bladmit
+
+import "time"
+
+// returnOrder spreads the returns of refused requests over the capacity of a target that has no request limit. Those of
+// each rank come back one after the other, in the order of their refusals. Without it, all that are refused in a burst
+// would come back together, and most of them would be refused again.
+type returnOrder struct{ next map[int]time.Time }
+
+// after is when a refused request of a rank should come back: after the wait, but not before those of its rank that were
+// refused earlier. The interval is the mean time between two slots that become free for the rank.
+func (o *returnOrder) after(now time.Time, rank int, wait, interval time.Duration) time.Duration {
+	if behind := o.next[rank].Sub(now); behind > wait {
+		wait = min(behind, wait+maxReturnSpread)
+	}
+	if o.next == nil || len(o.next) >= maxRoutes {
+		o.next = make(map[int]time.Time)
+	}
+	o.next[rank] = now.Add(wait + interval)
+	return wait
+}
--- a/basillift/bladmit/slotrequest.go
+++ b/basillift/bladmit/slotrequest.go
@@ -20,6 +20,11 @@
 	startBy time.Time
 	// late is set by the queue for a request that can no longer meet its soft deadline.
 	late bool
+	// lateAllowed is set for a request that may wait for a late place.
+	lateAllowed bool
+	// servedRatio is the share of its route's recent requests that were served, if servedRatioKnown is set.
+	servedRatio      float64
+	servedRatioKnown bool
 }
 
 // NewSlotRequest returns a slot request. Requests of one route are expected to have similar service times.
@@ -62,6 +67,24 @@
 	return r
 }
 
+// WithLateAllowed allows the request to wait beyond its soft deadline, behind all requests that are in time, as long as it is
+// expected to end before its deadline. The caller's daemon allows it when no other target takes the request in time.
+func (r SlotRequest) WithLateAllowed(allowed bool) SlotRequest {
+	r.lateAllowed = allowed
+	return r
+}
+
+// WithServedRatio sets the share, from 0 to 1, of the recent requests of its route that were served at the caller's daemon.
+func (r SlotRequest) WithServedRatio(ratio float64) SlotRequest {
+	r.servedRatio, r.servedRatioKnown = ratio, true
+	return r
+}
+
+// hasObjective reports whether the caller wants its answer earlier than at its deadline.
+func (r SlotRequest) hasObjective() bool {
+	return r.latencyObjective > 0 && r.softDeadline.Before(r.deadline)
+}
+
 // AdmissionResult says what happens to a slot request on arrival.
 type AdmissionResult string
 
--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -166,7 +166,7 @@
 func (sq *slotQueue) retryAfter(now time.Time) time.Duration {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	return sq.queue.RetryAfter(now)
+	return sq.queue.RetryAfter(now, bladmit.SlotRequest{})
 }
 
 func (sq *slotQueue) load() basillift.Load {
