--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -33,6 +33,7 @@
 	outcome    basillift.Outcome
 	reason     basillift.Reason
 	retryAfter time.Duration
+	admission  admissionNote
 	load       *basillift.Load
 	// close is set if the connection must be closed after the answer.
 	close bool
@@ -153,6 +154,9 @@
 		return appendField(b, headerFeed, a.feedHeader)
 	}
 	b = appendField(b, headerHop, a.formatOutcome())
+	if a.admission != "" {
+		b = appendField(b, headerAdmission, string(a.admission))
+	}
 	if a.load != nil {
 		b = appendField(b, headerLoad, formatLoad(*a.load))
 	}
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blbalance"
-	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/blquarantine"
 	"basillift.dev/basillift/blretry"
 	"basillift.dev/basillift/bltable"
@@ -47,7 +44,12 @@
 	metadata           requestMetadata
 	triedInstances     []string
 	earliestRetryAfter time.Duration
-	attempts           []attemptRecord
+	late               lateAttempt
+	// callerDeadline is when the caller gives up; zero if it does not say.
+	callerDeadline time.Time
+	// admission is what overload did to the request in its last attempt.
+	admission admissionNote
+	attempts  []attemptRecord
 	// nestedCall is set if a target's daemon classifies the request as a nested call of this VM's target.
 	nestedCall  bool
 	fingerprint func() blquarantine.Fingerprint
@@ -119,9 +121,11 @@
 		timeout = defaultTimeout
 	}
 	elapsed := time.Duration(0)
+	var callerDeadline time.Time
 	if callerTimeout, ok := r.headerMillis(c.forwarder.settings.headerNames.Deadline()); ok {
 		timeout = min(timeout, max(0, callerTimeout-callerMargin))
 		elapsed = c.forwarder.elapsedWaits.Observe(route.Name(), callerTimeout)
+		callerDeadline = r.arrived.Add(callerTimeout)
 	}
 	latencyObjective := route.LatencyObjective()
 	if latencyObjective == 0 {
@@ -133,7 +137,7 @@
 		parent = c.forwarder.admission.attributeCall(route.Name(), stats.servedRatio)
 	}
 	return &routedRequest{
-		request: r, route: route, service: c.forwarder.splitter.Pick(route), fingerprint: fingerprintOf(r),
+		request: r, route: route, service: c.forwarder.splitter.Pick(route), fingerprint: fingerprintOf(r), callerDeadline: callerDeadline,
 		metadata: requestMetadata{
 			route: route.Name(), rank: route.Priority(), retryable: route.Kind().Retryable(), latencyObjective: latencyObjective,
 			servedRatio: stats.servedRatio, parent: parent, retryProbability: parent.retryProbability,
@@ -162,19 +166,14 @@
 			a.discard()
 			return preferTargetAnswer(targetFailure, c.expiredAnswer(ctx, sequence, result))
 		}
-		takeRetry := func() bool {
-			allowed := f.allowance.Take(now, rr.service, f.fleet.VMCount())
-			if allowed {
-				f.counters.retries.Inc()
-				rr.metadata.retryProbability = 1
-			}
-			return allowed
-		}
-		switch sequence.Next(now, result, rr.request.buffered(), takeRetry) {
+		switch sequence.Next(now, result, rr.request.buffered(), func() bool { return c.takeRetry(now, rr) }) {
 		case blretry.ActionForwardAnswer:
 			return a
 		case blretry.ActionReportNotRun:
-			return notRunAnswer(a.reason, c.retryAfter(rr))
+			if rr.askLate(a) && sequence.MayAskLate(now) {
+				continue
+			}
+			return notRunAnswer(a.reason, c.retryAfter(now, rr))
 		case blretry.ActionReportUnknown:
 			a.discard()
 			return preferTargetAnswer(targetFailure, unknownAnswer(unknownStatus(a), a.reason))
@@ -187,6 +186,17 @@
 	}
 }
 
+// takeRetry takes a retry from the allowance.
+func (c *callerSide) takeRetry(now time.Time, rr *routedRequest) bool {
+	f := c.forwarder
+	if !f.allowance.Take(now, rr.service, f.fleet.VMCount()) {
+		return false
+	}
+	f.counters.retries.Inc()
+	rr.metadata.retryProbability = 1
+	return true
+}
+
 // preferTargetAnswer returns the answer of a target if there is one, and the daemon's own answer otherwise.
 func preferTargetAnswer(target, own *answer) *answer {
 	if target != nil {
@@ -203,13 +213,6 @@
 	return http.StatusBadGateway
 }
 
-func (c *callerSide) retryAfter(rr *routedRequest) time.Duration {
-	if rr.earliestRetryAfter > 0 {
-		return rr.earliestRetryAfter
-	}
-	return defaultRetryAfter
-}
-
 // expiredAnswer returns the final answer to a request whose deadline has passed or whose caller disconnected.
 func (c *callerSide) expiredAnswer(ctx context.Context, sequence *blretry.AttemptSequence, last blretry.AttemptResult) *answer {
 	if sequence.MayHaveRun() || last.MayHaveRun() {
@@ -226,7 +229,7 @@
 	f := c.forwarder
 	now := time.Now()
 	query := blbalance.NewRequest(rr.route.Name(), c.expectedBytes(rr), rr.metadata.softDeadline)
-	target, found := f.balancer.Choose(now, f.fleet.Targets(rr.service), rr.triedInstances, query)
+	target, found := c.chooseTarget(now, rr, query)
 	if !found {
 		reason := basillift.ReasonNoTarget
 		if len(rr.triedInstances) > 0 {
@@ -254,8 +257,10 @@
 	if result == blretry.AttemptAnswered {
 		f.answerSizes.observe(rr.route.Name(), len(a.body))
 	}
+	rr.admission = a.admission
 	if result == blretry.AttemptRefused && a.retryAfter > 0 && (rr.earliestRetryAfter == 0 || a.retryAfter < rr.earliestRetryAfter) {
 		rr.earliestRetryAfter = a.retryAfter
+		rr.late.observe(instance, a)
 	}
 	return a, result
 }
@@ -284,106 +289,3 @@
 		return blbalance.ResultRefused
 	}
 }
-
-// send sends a request to the target's daemon, or directly to the VM's own target.
-func (c *callerSide) send(ctx context.Context, rr *routedRequest, t *blfleet.Target) (*answer, blretry.AttemptResult) {
-	f := c.forwarder
-	if t.Endpoint().Address() == f.settings.targetAddress {
-		a := f.targetSide.run(ctx, c.localRequest(rr.request), rr.metadata)
-		return a, attemptResult(a)
-	}
-	if ctx.Err() != nil {
-		return notRunAnswer(canceledReason(ctx), 0), blretry.AttemptRefused
-	}
-	remote, answerBy := f.answerDeadlines.start(rr.request.header(f.settings.headerNames.RequestID()), t.Endpoint().Daemon())
-	defer f.answerDeadlines.end(remote)
-	rr.metadata.answerBy = answerBy
-	if c.needsReservation(rr, t) {
-		if a, result, reserved := c.reserveBody(ctx, rr, t); !reserved {
-			return a, result
-		}
-	}
-	now := time.Now()
-	e := &exchange{
-		pool: f.pools.Of(t.Endpoint().Daemon()), request: rr.request, header: c.requestHeader(rr, now), deadline: rr.metadata.deadline,
-	}
-	received, err := e.run(ctx, now)
-	if err != nil {
-		return unansweredAttempt(err, e.unsent)
-	}
-	a := &received.answer
-	a.parseInternalHeaders()
-	if s, ok := parseSuspicion(time.Now(), a.header(headerSuspicion), rr.fingerprint); ok {
-		a.suspicion = &s
-	}
-	f.gossip.ObserveRevision(a.newestRevision)
-	return a, attemptResult(a)
-}
-
-// unansweredAttempt returns the result of an attempt without an answer. unsent means that no byte of the request was
-// sent.
-func unansweredAttempt(err error, unsent bool) (*answer, blretry.AttemptResult) {
-	a, result := unknownAnswer(http.StatusBadGateway, basillift.ReasonConnectFailed), blretry.AttemptBroken
-	if unsent {
-		a, result = notRunAnswer(basillift.ReasonConnectFailed, 0), blretry.AttemptUnreachable
-	}
-	a.timedOut = isTimeout(err)
-	return a, result
-}
-
-// needsReservation reports whether the body may be sent only after a reservation. That applies to large bodies for a
-// VM with a slow link, or for another failure domain, where transferred bytes cost money.
-func (c *callerSide) needsReservation(rr *routedRequest, t *blfleet.Target) bool {
-	if rr.request.buffered() && len(rr.request.body) < blbalance.LargeBodyBytes {
-		return false
-	}
-	e := t.Endpoint()
-	return e.Domain() != c.forwarder.settings.domain || c.forwarder.balancer.SlowLink(e.Instance())
-}
-
-// reserveBody asks the target's daemon for a reservation for the body. It returns false, with the result of the
-// attempt, if that daemon does not grant one.
-func (c *callerSide) reserveBody(ctx context.Context, rr *routedRequest, t *blfleet.Target) (*answer, blretry.AttemptResult, bool) {
-	refusal, err := c.requestReservation(ctx, rr, t.Endpoint().Daemon())
-	if err != nil {
-		// The request itself has not been sent.
-		a, result := unansweredAttempt(err, true)
-		return a, result, false
-	}
-	if refusal != nil {
-		return refusal, attemptResult(refusal), false
-	}
-	return nil, "", true
-}
-
-// isTimeout reports whether an error is a timeout, as opposed to a refusal or a reset: of connecting, of data that the
-// peer does not acknowledge, or of the deadline. A canceled exchange ends with a timeout too. The peer may have sent a
-// part of its answer.
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &timeout) && timeout.Timeout()
-}
-
-// parseInternalHeaders reads the outcome and the load report from the headers of another daemon's answer.
-func (a *answer) parseInternalHeaders() {
-	a.parseOutcome(a.header(headerHop))
-	a.load = parseLoad(a.header(headerLoad))
-}
-
-// attemptResult translates an answer of the target's daemon into the result of the attempt.
-func attemptResult(a *answer) blretry.AttemptResult {
-	switch {
-	case a.outcome == basillift.OutcomeDone && a.status >= http.StatusInternalServerError:
-		return blretry.AttemptFailed
-	case a.outcome == basillift.OutcomeDone:
-		return blretry.AttemptAnswered
-	case a.outcome == basillift.OutcomeNotRun && a.reason == basillift.ReasonTarget:
-		return blretry.AttemptShed
-	case a.outcome == basillift.OutcomeNotRun && (a.reason == basillift.ReasonNoTarget || a.reason == basillift.ReasonDraining):
-		return blretry.AttemptUnreachable
-	case a.outcome == basillift.OutcomeNotRun:
-		return blretry.AttemptRefused
-	default:
-		return blretry.AttemptBroken
-	}
-}
--- a/basillift/blforwarder/callerheader.go
+++ b/basillift/blforwarder/callerheader.go
@@ -36,7 +36,7 @@
 	// The target's daemon gives up earlier by the transfer time, so that its own answer arrives before the deadline.
 	metadata.deadline = metadata.deadline.Add(-answerMargin)
 	b = appendField(b, headerHop, metadata.format(now))
-	b = metadata.appendAnswerBy(b, now)
+	b = metadata.appendLate(metadata.appendAnswerBy(b, now))
 	if s, known := c.forwarder.quarantine.suspicion(now, rr.fingerprint); known {
 		b = appendField(b, headerSuspicion, formatSuspicion(now, s))
 	}
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -25,6 +25,7 @@
 	set := metrics.NewSet()
 	set.NewGauge("basillift_target_requests_running", func() float64 { return float64(f.admission.load().Running()) })
 	set.NewGauge("basillift_target_requests_queued", func() float64 { return float64(f.admission.load().Queued()) })
+	set.NewGauge("basillift_target_requests_late_waiting", func() float64 { return float64(f.admission.lateWaiting()) })
 	set.NewGauge("basillift_target_slots", func() float64 { return float64(f.admission.load().Slots()) })
 	set.NewGauge("basillift_target_hold_seconds", func() float64 { return f.admission.load().MeanServiceTime().Seconds() })
 	set.NewGauge("basillift_target_connections_opened", func() float64 {
--- a/basillift/blforwarder/requestlog.go
+++ b/basillift/blforwarder/requestlog.go
@@ -92,7 +92,11 @@
 	}
 	line.Str("route", rr.route.Name()).Str("to", rr.service).Uint64("table", table).
 		Dur("took", now.Sub(rr.request.arrived)).Dur("goal", rr.metadata.latencyObjective).Dur("limit", rr.metadata.deadline.Sub(rr.request.arrived)).
-		Str("attempts", formatAttempts(rr.attempts)).Send()
+		Str("attempts", formatAttempts(rr.attempts))
+	if rr.admission != "" {
+		line.Str("admission", string(rr.admission))
+	}
+	line.Send()
 }
 
 // formatAttempts writes "instance result/reason duration@age" for each attempt. The age is that of the load report by
--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -15,13 +15,31 @@
 // minDispatchDelay is added where the next start is due already by rounding.
 const minDispatchDelay = time.Millisecond
 
+// waitEnd says how the wait of a request for a slot ends.
+type waitEnd string
+
+const (
+	waitStarted waitEnd = "started"
+	// waitDisplaced is the end for a request that lost its place to others, and waitTooLong for one that must start earlier
+	// than it can.
+	waitDisplaced waitEnd = "displaced"
+	waitTooLong   waitEnd = "too-long"
+)
+
+// note returns the note on the refusal of a request.
+func (e waitEnd) note() admissionNote {
+	if e == waitDisplaced {
+		return admissionDisplaced
+	}
+	return admissionNoTime
+}
+
 // slotQueue lets goroutines wait for a slot in a deadline queue.
 type slotQueue struct {
 	mutex sync.Mutex
 	queue *bladmit.DeadlineQueue
-	// waiting holds a channel for each waiting request. It receives true when the request gets its slot, and false when
-	// it is refused.
-	waiting map[uint64]chan bool
+	// waiting holds a channel for each waiting request. It receives how the wait ends.
+	waiting map[uint64]chan waitEnd
 	lastID  uint64
 	// requestLimit is the target's limit in requests per second; negative without a limit.
 	requestLimit float64
@@ -30,7 +48,7 @@
 }
 
 func newSlotQueue(slots int) slotQueue {
-	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan bool), requestLimit: noRequestLimit}
+	return slotQueue{queue: bladmit.NewDeadlineQueue(slots), waiting: make(map[uint64]chan waitEnd), requestLimit: noRequestLimit}
 }
 
 // acquire waits for a slot. It returns the slot's id, or the refusal. slotRequest is called again when the accepted
@@ -42,17 +60,21 @@
 	case bladmit.AdmissionRun:
 		return id, nil
 	case bladmit.AdmissionRefuse:
-		return 0, notRunAnswer(decision.Reason(), decision.RetryAfter())
+		refusal = notRunAnswer(decision.Reason(), decision.RetryAfter())
+		if decision.Reason() == basillift.ReasonOverload {
+			refusal.admission = admissionNoTime
+		}
+		return 0, refusal
 	}
 	timer := time.NewTimer(decision.WaitUntil().Sub(now))
 	defer timer.Stop()
 	for {
 		select {
-		case started := <-ended:
-			if !started {
-				return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+		case end := <-ended:
+			if end == waitStarted {
+				return id, nil
 			}
-			return id, nil
+			return 0, overloadRefusal(end.note(), sq.retryAfter(time.Now(), slotRequest(id)))
 		case <-changed:
 			changed = accepted.changes()
 			now = time.Now()
@@ -60,8 +82,13 @@
 				timer.Reset(waitUntil.Sub(now))
 			}
 		case <-timer.C:
-			if sq.withdraw(id) {
-				return 0, notRunAnswer(basillift.ReasonOverload, sq.retryAfter(time.Now()))
+			now = time.Now()
+			waitUntil, refused := sq.expire(now, id)
+			if refused {
+				return 0, overloadRefusal(admissionNoTime, sq.retryAfter(now, slotRequest(id)))
+			}
+			if waitUntil.After(now) {
+				timer.Reset(waitUntil.Sub(now))
 			}
 		case <-ctx.Done():
 			if sq.withdraw(id) {
@@ -80,14 +107,14 @@
 	defer sq.mutex.Unlock()
 	decision := sq.queue.Restrict(now, r)
 	if decision.Result() == bladmit.AdmissionRefuse {
-		sq.endWait(r.ID(), false)
+		sq.endWait(r.ID(), waitTooLong)
 	}
 	return decision.WaitUntil(), decision.Result() == bladmit.AdmissionWait
 }
 
 // enqueue adds a request to the queue. It returns the request's id and the decision of the queue: run, wait or refuse.
-// The channel receives whether a waiting request got its slot; nil if the decision is not to wait.
-func (sq *slotQueue) enqueue(now time.Time, slotRequest func(id uint64) bladmit.SlotRequest) (uint64, bladmit.AdmissionDecision, chan bool) {
+// The channel receives how the wait ends; nil if the decision is not to wait.
+func (sq *slotQueue) enqueue(now time.Time, slotRequest func(id uint64) bladmit.SlotRequest) (uint64, bladmit.AdmissionDecision, chan waitEnd) {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
 	sq.lastID++
@@ -96,7 +123,7 @@
 	if decision.Result() != bladmit.AdmissionWait {
 		return id, decision, nil
 	}
-	ended := make(chan bool, 1)
+	ended := make(chan waitEnd, 1)
 	sq.waiting[id] = ended
 	sq.notify(now, nil)
 	return id, decision, ended
@@ -128,10 +155,10 @@
 // the next start. It must be called after each change of the queue.
 func (sq *slotQueue) notify(now time.Time, started []uint64) {
 	for _, id := range started {
-		sq.endWait(id, true)
+		sq.endWait(id, waitStarted)
 	}
 	for _, id := range sq.queue.RemoveUnservable(now) {
-		sq.endWait(id, false)
+		sq.endWait(id, waitDisplaced)
 	}
 	if sq.dispatchTimer != nil {
 		sq.dispatchTimer.Stop()
@@ -142,8 +169,8 @@
 	}
 }
 
-func (sq *slotQueue) endWait(id uint64, started bool) {
-	sq.waiting[id] <- started
+func (sq *slotQueue) endWait(id uint64, end waitEnd) {
+	sq.waiting[id] <- end
 	delete(sq.waiting, id)
 }
 
@@ -163,10 +190,35 @@
 	return true
 }
 
-func (sq *slotQueue) retryAfter(now time.Time) time.Duration {
+// expire ends the wait of a request whose time has run out. It returns until when the request waits if it has got a late
+// place, and whether it is refused.
+func (sq *slotQueue) expire(now time.Time, id uint64) (waitUntil time.Time, refused bool) {
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	return sq.queue.RetryAfter(now, bladmit.SlotRequest{})
+	waitUntil, refused = sq.queue.Expire(now, id)
+	if refused {
+		delete(sq.waiting, id)
+	}
+	return waitUntil, refused
+}
+
+// noteStart returns the note of a request that has got its slot.
+func (sq *slotQueue) noteStart(id uint64, lateAllowed bool) admissionNote {
+	if !lateAllowed {
+		return ""
+	}
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	if sq.queue.HasLatePlace(id) {
+		return admissionLate
+	}
+	return ""
+}
+
+func (sq *slotQueue) retryAfter(now time.Time, r bladmit.SlotRequest) time.Duration {
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	return sq.queue.RetryAfter(now, r)
 }
 
 func (sq *slotQueue) load() basillift.Load {
@@ -174,3 +226,9 @@
 	defer sq.mutex.Unlock()
 	return sq.queue.Load()
 }
+
+func (sq *slotQueue) lateWaiting() int {
+	sq.mutex.Lock()
+	defer sq.mutex.Unlock()
+	return sq.queue.LateWaiting()
+}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -48,6 +48,8 @@
 	newestRevision basillift.Revision
 	// answerBy is when the caller's daemon, which is stopping, needs the answer; zero if it is not stopping.
 	answerBy time.Time
+	// lateAllowed is set if the request may wait beyond its soft deadline, since no other target takes it in time.
+	lateAllowed bool
 }
 
 // parentRequest describes the request that most likely made a nested call. The caller's daemon determines it: the
@@ -91,6 +93,7 @@
 		return rejectedAnswer(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
 	meta.answerBy, _ = parseAnswerBy(r.header(headerAnswerBy), r.arrived)
+	meta.lateAllowed = r.header(headerLate) == formatFlag(true)
 	t.forwarder.gossip.ObserveRevision(meta.newestRevision)
 	if text := r.header(headerSuspicion); text != "" {
 		if s, ok := parseSuspicion(r.arrived, text, fingerprintOf(r)); ok {
@@ -151,8 +154,9 @@
 		refusal.nestedCall = meta.nestedCall
 		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
 			// This daemon or its target serves no requests soon, whatever the queue expects.
-			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
+			refusal.reason, refusal.retryAfter, refusal.admission = basillift.ReasonDraining, 0, ""
 		}
+		f.counters.countAdmission(refusal.admission, meta)
 		return refusal
 	}
 	started := time.Now()
@@ -168,11 +172,13 @@
 		}
 		return refusal
 	}
+	note := f.admission.noteStart(id, meta.lateAllowed)
+	f.counters.countAdmission(note, meta)
 	f.counters.slotWait.Update(started.Sub(now).Seconds())
 	f.admission.observeStart(meta)
 	a, observed := t.sendToTarget(ctx, r, run, meta)
 	f.admission.observeEnd(meta, time.Since(started))
-	a.nestedCall = meta.nestedCall
+	a.nestedCall, a.admission = meta.nestedCall, note
 	if a.stream == nil {
 		f.admission.release(time.Now(), id, observed)
 		return a
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -129,6 +129,6 @@
 	b = appendField(b, names.Caller(), c.forwarder.settings.service)
 	b = appendField(b, headerPermit, "1")
 	b = appendField(b, headerHop, metadata.format(now))
-	b = metadata.appendAnswerBy(b, now)
+	b = metadata.appendLate(metadata.appendAnswerBy(b, now))
 	return append(b, "\r\n"...)
 }
--- a/basillift/blretry/sequence.go
+++ b/basillift/blretry/sequence.go
@@ -69,6 +69,12 @@
 // MayHaveRun reports whether the request may have run in any attempt so far.
 func (s *AttemptSequence) MayHaveRun() bool { return s.mayHaveRun }
 
+// MayAskLate reports whether the request may make one more attempt, which asks for a late place: no target has received it, and
+// there is time left.
+func (s *AttemptSequence) MayAskLate(now time.Time) bool {
+	return s.targetsReached == 0 && !now.Add(minRemaining).After(s.deadline)
+}
+
 // Next decides on the action after an attempt. canResend is false if the body cannot be sent again. takeRetry takes a
 // retry from the allowance; it is called only if nothing else rules out a retry and a target may have received the
 // request.
