--- a/basillift/blforwarder/admission.go
+++ b/basillift/blforwarder/admission.go
@@ -124,7 +124,7 @@
 	if rm.bestRank {
 		rank = bladmit.BestRank
 	}
-	return bladmit.NewSlotRequest(id, rm.route, rank, rm.softDeadline, rm.deadline).WithLatencyObjective(rm.latencyObjective).WithNested(rm.nestedCall).WithLateAllowed(rm.lateAllowed).WithServedRatio(rm.servedRatio)
+	return bladmit.NewSlotRequest(id, rm.route, rank, rm.softDeadline, rm.deadline).WithLatencyObjective(rm.latencyObjective).WithNested(rm.nestedCall).WithLateAllowed(rm.lateAllowed).WithServedRatio(rm.servedRatio).WithStartBy(rm.sendBy)
 }
 
 // markDown closes the queue for downPause because the target refuses connections.
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -164,7 +164,7 @@
 		now := time.Now()
 		if ctx.Err() != nil && result != blretry.AttemptAnswered {
 			a.discard()
-			return preferTargetAnswer(targetFailure, c.expiredAnswer(ctx, sequence, result))
+			return preferTargetAnswer(targetFailure, c.expiredAnswer(ctx, now, rr, sequence, result))
 		}
 		switch sequence.Next(now, result, rr.request.buffered(), func() bool { return c.takeRetry(now, rr) }) {
 		case blretry.ActionForwardAnswer:
@@ -214,14 +214,14 @@
 }
 
 // expiredAnswer returns the final answer to a request whose deadline has passed or whose caller disconnected.
-func (c *callerSide) expiredAnswer(ctx context.Context, sequence *blretry.AttemptSequence, last blretry.AttemptResult) *answer {
+func (c *callerSide) expiredAnswer(ctx context.Context, now time.Time, rr *routedRequest, sequence *blretry.AttemptSequence, last blretry.AttemptResult) *answer {
 	if sequence.MayHaveRun() || last.MayHaveRun() {
 		return unknownAnswer(http.StatusGatewayTimeout, basillift.ReasonDeadline)
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return notRunAnswer(canceledReason(ctx), defaultRetryAfter)
 	}
-	return notRunAnswer(basillift.ReasonDeadline, defaultRetryAfter)
+	return notRunAnswer(basillift.ReasonDeadline, c.retryAfter(now, rr))
 }
 
 // attempt chooses a target, sends the request to it and records the result.
@@ -247,7 +247,7 @@
 	if a.load != nil {
 		f.advisories.ObserveReport(ended, target.Endpoint(), a.load.Advisory())
 	}
-	f.balancer.Ended(ended, target, query, balancerResult(ctx, result, a.timedOut), ended.Sub(now), a.load)
+	f.balancer.Ended(ended, target, query, balancerResult(ctx, result, a.timedOut), ended.Sub(now), balancerLoad(a))
 	if a.suspicion != nil {
 		f.adoptSuspicions(ended, *a.suspicion)
 	}
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -34,6 +34,8 @@
 	request  *request
 	header   []byte
 	deadline time.Time
+	// connectBy is when the connection must be open; zero for the deadline.
+	connectBy time.Time
 	// requestID is the id that the answer must echo; empty to skip the check.
 	requestID     string
 	idHeader      string
@@ -72,7 +74,7 @@
 	if e.newConnection {
 		connect = e.pool.Open
 	}
-	conn, err := connect(now, e.deadline)
+	conn, err := connect(now, earlier(e.deadline, e.connectBy))
 	if err != nil {
 		e.unsent = true
 		return nil, fmt.Errorf("get connection: %w", err)
--- a/basillift/blforwarder/fakes_test.go
+++ b/basillift/blforwarder/fakes_test.go
@@ -163,6 +163,8 @@
 	ended  []<-chan struct{}
 	fleet  *blfleet.Fleet
 	tables *bltable.Holder
+	// adjust changes the settings of each daemon before it starts; nil for no function.
+	adjust func(*Settings)
 }
 
 func startMesh(t *testing.T, targets ...*fakeTarget) *mesh {
@@ -202,6 +204,9 @@
 	t.Helper()
 	const free = "127.0.0.1:0"
 	s := NewSettings(free, free, free).WithTarget(f.address, "catalogue", "a").WithHeaderNames(testHeaderNames).WithRetryAllowance(1, 100)
+	if m.adjust != nil {
+		m.adjust(&s)
+	}
 	fw := New(s, m.tables, m.fleet, nil, rand.New(rand.NewSource(int64(i)+1)))
 	fw.SetRevisionGossip(fixedGossip{})
 	fw.SetFeedServer(fakeFeed{})
--- a/basillift/blforwarder/lateattempt.go
+++ b/basillift/blforwarder/lateattempt.go
@@ -28,10 +28,10 @@
 }
 
 // askLate decides whether a request whose last attempt had this answer asks for a late place. It does so once, if its route has
-// a latency objective, the request can be sent again and a target refused it for overload.
+// a latency objective, the request can be sent again and a target refused it for overload. Nested calls get no late places.
 func (rr *routedRequest) askLate(last *answer) bool {
 	overloaded := last.outcome == basillift.OutcomeNotRun && last.reason == basillift.ReasonOverload && rr.late.instance != ""
-	if !overloaded || rr.late.asked || rr.route.LatencyObjective() == 0 || !rr.request.buffered() {
+	if !overloaded || rr.late.asked || rr.nestedCall || rr.route.LatencyObjective() == 0 || !rr.request.buffered() {
 		return false
 	}
 	rr.late.asked, rr.late.due, rr.metadata.lateAllowed = true, true, true
@@ -66,3 +66,12 @@
 	}
 	return wait
 }
+
+// balancerLoad is the load report of an answer for the balancer, which learns from it how long requests of the route take at an
+// idle target. An answer from a late place has none: late places do not count as queued, but the wait there is long.
+func balancerLoad(a *answer) *basillift.Load {
+	if a.admission == admissionLate {
+		return nil
+	}
+	return a.load
+}
--- a/basillift/blforwarder/settings.go
+++ b/basillift/blforwarder/settings.go
@@ -55,12 +55,14 @@
 	fixedRetries  int
 	drainPeriod   time.Duration
 	slowLink      bool
+	// maxRefusalMargin bounds how long before its deadline a request that has not been sent to the target is refused.
+	maxRefusalMargin time.Duration
 }
 
 // NewSettings returns settings with the addresses on which callers, other daemons and readiness checks connect. By
 // default retries are limited to 0.1 of the requests plus 10, and a leaving target may be used for 2 s.
 func NewSettings(callerAddress, meshAddress, readyAddress string) Settings {
-	return Settings{callerAddress: callerAddress, meshAddress: meshAddress, readyAddress: readyAddress, retryRatio: 0.1, fixedRetries: 10, drainPeriod: 2 * time.Second}
+	return Settings{callerAddress: callerAddress, meshAddress: meshAddress, readyAddress: readyAddress, retryRatio: 0.1, fixedRetries: 10, drainPeriod: 2 * time.Second, maxRefusalMargin: defaultMaxRefusalMargin}
 }
 
 // WithTarget sets the VM's own target: its address, service and failure domain.
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -48,6 +48,8 @@
 	newestRevision basillift.Revision
 	// answerBy is when the caller's daemon, which is stopping, needs the answer; zero if it is not stopping.
 	answerBy time.Time
+	// sendBy is when the target's daemon must have sent the request to the target.
+	sendBy time.Time
 	// lateAllowed is set if the request may wait beyond its soft deadline, since no other target takes it in time.
 	lateAllowed bool
 }
@@ -116,6 +118,7 @@
 // run admits a request and sends it to the target. The answer carries the target's load report.
 func (t *targetSide) run(ctx context.Context, r *request, meta requestMetadata) *answer {
 	meta.callerService = r.header(t.forwarder.settings.headerNames.Caller())
+	meta.sendBy = t.forwarder.settings.sendBy(r.arrived, meta.deadline)
 	accepted := t.accept(r, meta)
 	defer t.forwarder.accepted.remove(accepted)
 	run := newTargetRun(r, accepted)
@@ -143,7 +146,7 @@
 		return refusal
 	}
 	if f.quarantine.active.Load() {
-		latest := meta.deadline.Add(-f.admission.serviceTimeBound(meta))
+		latest := earlier(meta.deadline.Add(-f.admission.serviceTimeBound(meta)), meta.sendBy)
 		if refusal := f.quarantine.enter(ctx, now, run, latest, f.admission.load().MeanServiceTime()); refusal != nil {
 			return refusal
 		}
@@ -226,7 +229,7 @@
 	}
 	defer f.crashes.end(run)
 	e := &exchange{
-		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline,
+		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline, connectBy: f.settings.sendBy(now, meta.deadline),
 		requestID: r.header(names.RequestID()), idHeader: names.RequestID(), notRunHeader: names.NotRun(),
 		begun: func() { f.crashes.start(run) },
 	}
