--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -48,6 +48,10 @@
 	newestRevision basillift.Revision
 	// answerBy is when the caller's daemon, which is stopping, needs the answer; zero if it is not stopping.
 	answerBy time.Time
+	// sendBy is when the target's daemon must have sent the request to the target.
+	sendBy time.Time
+	// lateAllowed is set if the request may wait beyond its soft deadline, since no other target takes it in time.
+	lateAllowed bool
 }
 
 // parentRequest describes the request that most likely made a nested call. The caller's daemon determines it: the
@@ -91,6 +95,7 @@
 		return rejectedAnswer(http.StatusBadRequest, basillift.ReasonBadRequest)
 	}
 	meta.answerBy, _ = parseAnswerBy(r.header(headerAnswerBy), r.arrived)
+	meta.lateAllowed = r.header(headerLate) == formatFlag(true)
 	t.forwarder.gossip.ObserveRevision(meta.newestRevision)
 	if text := r.header(headerSuspicion); text != "" {
 		if s, ok := parseSuspicion(r.arrived, text, fingerprintOf(r)); ok {
@@ -113,6 +118,7 @@
 // run admits a request and sends it to the target. The answer carries the target's load report.
 func (t *targetSide) run(ctx context.Context, r *request, meta requestMetadata) *answer {
 	meta.callerService = r.header(t.forwarder.settings.headerNames.Caller())
+	meta.sendBy = t.forwarder.settings.sendBy(r.arrived, meta.deadline)
 	accepted := t.accept(r, meta)
 	defer t.forwarder.accepted.remove(accepted)
 	run := newTargetRun(r, accepted)
@@ -140,7 +146,7 @@
 		return refusal
 	}
 	if f.quarantine.active.Load() {
-		latest := meta.deadline.Add(-f.admission.serviceTimeBound(meta))
+		latest := earlier(meta.deadline.Add(-f.admission.serviceTimeBound(meta)), meta.sendBy)
 		if refusal := f.quarantine.enter(ctx, now, run, latest, f.admission.load().MeanServiceTime()); refusal != nil {
 			return f.explainRefusal(refusal)
 		}
@@ -152,8 +158,9 @@
 		refusal = f.explainRefusal(refusal)
 		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
 			// This daemon or its target serves no requests soon, whatever the queue expects.
-			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
+			refusal.reason, refusal.retryAfter, refusal.admission = basillift.ReasonDraining, 0, ""
 		}
+		f.counters.countAdmission(refusal.admission, meta)
 		return refusal
 	}
 	started := time.Now()
@@ -169,11 +176,13 @@
 		}
 		return refusal
 	}
+	note := f.admission.noteStart(id, meta.lateAllowed)
+	f.counters.countAdmission(note, meta)
 	f.counters.slotWait.Update(started.Sub(now).Seconds())
 	f.admission.observeStart(meta)
 	a, observed := t.sendToTarget(ctx, r, run, meta)
 	f.admission.observeEnd(meta, time.Since(started))
-	a.nestedCall = meta.nestedCall
+	a.nestedCall, a.admission = meta.nestedCall, note
 	if a.stream == nil {
 		f.admission.release(time.Now(), id, observed)
 		return a
@@ -224,7 +233,7 @@
 	}
 	defer f.crashes.end(run)
 	e := &exchange{
-		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline,
+		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline, connectBy: f.settings.sendBy(now, meta.deadline),
 		requestID: r.header(names.RequestID()), idHeader: names.RequestID(), notRunHeader: names.NotRun(),
 	}
 	e.begun = func() {
