--- a/basillift/blsettings/file_gen.go
+++ b/basillift/blsettings/file_gen.go
@@ -20,6 +20,10 @@
 	// IP address and port for control messages between daemons.
 	Control string `json:"control"`
 
+	// File descriptors that the process may use; 0 if it is not known. Bounds the
+	// connections that the daemon accepts.
+	Descriptors int `json:"descriptors,omitempty,omitzero"`
+
 	// Failure domain of the VM.
 	Domain string `json:"domain"`
 
@@ -47,6 +51,10 @@
 	// Longest deadline in ms that a caller may ask for.
 	Longest int `json:"longest,omitempty,omitzero"`
 
+	// Memory in MB that the process may use; 0 if it is not known. Bounds what
+	// callers and other daemons can make the daemon hold.
+	Memory int `json:"memory,omitempty,omitzero"`
+
 	// IP address and port for calls from other daemons.
 	Mesh string `json:"mesh"`
 
--- a/basillift/blsettings/load.go
+++ b/basillift/blsettings/load.go
@@ -225,5 +225,7 @@
 		retryShare:        f.Repeats,
 		retryAllowance:    f.Allowance,
 		linkMbitPerSecond: f.Link,
+		memoryMB:          f.Memory,
+		descriptors:       f.Descriptors,
 	}
 }
--- a/basillift/blsettings/settings.go
+++ b/basillift/blsettings/settings.go
@@ -54,6 +54,8 @@
 	retryShare        float64
 	retryAllowance    int
 	linkMbitPerSecond float64
+	memoryMB          int
+	descriptors       int
 }
 
 // Name is the name of the VM, unique in the mesh.
@@ -133,6 +135,12 @@
 // LinkMbitPerSecond is the speed of the VM's link in Mbit/s; 0 if it is fast or not known.
 func (s Settings) LinkMbitPerSecond() float64 { return s.linkMbitPerSecond }
 
+// MemoryMB is how much memory in MB the process may use; 0 if it is not known.
+func (s Settings) MemoryMB() int { return s.memoryMB }
+
+// Descriptors is how many file descriptors the process may use; 0 if it is not known.
+func (s Settings) Descriptors() int { return s.descriptors }
+
 // Member returns the daemon's first member record. Its incarnation is the given time in Unix milliseconds.
 func (s Settings) Member(now time.Time) basillift.Member {
 	return basillift.NewMember(s.name, uint64(now.UnixMilli()), s.addresses, s.place, s.service, s.slots)
--- a/basillift/blsettings/settings_test.go
+++ b/basillift/blsettings/settings_test.go
@@ -38,6 +38,15 @@
 		is.Equal(s.Timeout(), 10*time.Second)
 		is.Equal(s.Trace(), TraceRefused)
 		is.Equal(s.Platform(), "http://127.0.0.1:7000")
+		is.Equal(s.MemoryMB(), 0)
+		is.Equal(s.Descriptors(), 0)
+	})
+	t.Run("limits of the machine", func(t *testing.T) {
+		is := is.New(t)
+		s, err := Parse([]byte(withName(`"name": "vm1", "memory": 184, "descriptors": 4100,`)))
+		is.NoErr(err)
+		is.Equal(s.MemoryMB(), 184)
+		is.Equal(s.Descriptors(), 4100)
 	})
 }
 
@@ -54,6 +63,8 @@
 		{"same address twice", strings.Replace(valid, "127.0.1.1:7101", "127.0.1.1:7100", 1), "field mesh"},
 		{"bad seed", withName(`"name": "vm1", "seeds": ["a"],`), "field seeds.0"},
 		{"bad URL", strings.Replace(valid, "http://127.0.0.1:7000/", "ftp://x", 1), "field platform"},
+		{"negative memory", withName(`"name": "vm1", "memory": -1,`), "field memory"},
+		{"descriptors with a fraction", withName(`"name": "vm1", "descriptors": 0.5,`), "field descriptors"},
 		{"timeout above longest", withName(`"name": "vm1", "timeout": 2000, "longest": 1000,`), "field timeout"},
 	}
 	for _, c := range cases {
