--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -168,6 +168,14 @@
 // accept. Unlike a read with a short deadline it also tells that to a process that had no time to run before the deadline.
 func Readable(c syscall.Conn) (bool, error) { return poll(c, unix.POLLIN) }
 
+// ReadableDescriptor is like Readable for a descriptor. As the function of syscall.RawConn.Read it lets that wait without a
+// buffer.
+func ReadableDescriptor(descriptor uintptr) bool {
+	pollFDs := [1]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+	n, err := unix.Poll(pollFDs[:], 0)
+	return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
+}
+
 // poll reports whether one of the events is pending.
 func poll(c syscall.Conn, events int16) (bool, error) {
 	rc, err := c.SyscallConn()
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -18,6 +18,14 @@
 	maxIdle        time.Duration
 	connectTimeout time.Duration
 	userTimeout    time.Duration
+	gate           Gate
+}
+
+// Gate bounds the connections of several pools together.
+type Gate interface {
+	// Acquire reports whether one more connection may be opened. If so, Release must follow when it is closed.
+	Acquire() bool
+	Release()
 }
 
 // NewLimits returns limits for the number of open connections, the idle time of a connection and the time to open one.
@@ -32,6 +40,12 @@
 	return l
 }
 
+// WithGate returns a copy with a bound that several pools share.
+func (l Limits) WithGate(g Gate) Limits {
+	l.gate = g
+	return l
+}
+
 // Pool is a pool of connections to one address. The most recently used connection is reused first, so that surplus
 // connections reach their idle timeout and are closed. It is safe for concurrent use.
 type Pool struct {
@@ -112,6 +126,9 @@
 	if p.openConnections >= p.limits.maxConnections || p.closed {
 		return false
 	}
+	if p.limits.gate != nil && !p.limits.gate.Acquire() {
+		return false
+	}
 	p.openConnections++
 	p.opened++
 	return true
@@ -121,6 +138,9 @@
 	p.mutex.Lock()
 	p.openConnections--
 	p.mutex.Unlock()
+	if p.limits.gate != nil {
+		p.limits.gate.Release()
+	}
 }
 
 // Put returns a connection to the pool. The last exchange on it must be complete.
