--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -287,7 +287,7 @@
 		ra.reusable = false
 		ra.length = -1
 	}
-	body, more, err := readBuffered(source, ra.length, memory)
+	body, more, err := readBuffered(source, ra.length, memory.take)
 	if err != nil {
 		return fmt.Errorf("read answer body: %w", err)
 	}
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -35,7 +35,11 @@
 
 func (c *callerSide) internal() bool { return false }
 
-func (c *callerSide) newBodyMemory() *bodyMemory { return c.forwarder.bodyBudget.newMemory() }
+func (c *callerSide) newBodyMemory(headerBytes int) *bodyMemory {
+	return c.forwarder.bodyBudget.newMemory(headerBytes)
+}
+
+func (c *callerSide) slotsWanted(now time.Time) bool { return c.forwarder.slotsWanted(now) }
 
 func (c *callerSide) connLimits() connLimits { return c.forwarder.connLimits() }
 
--- a/basillift/blforwarder/disconnect.go
+++ b/basillift/blforwarder/disconnect.go
@@ -16,7 +16,11 @@
 // cancelOnDisconnect cancels the pending requests of a session when the peer disconnects after its last request.
 func (s *session) cancelOnDisconnect() {
 	_ = s.conn.SetReadDeadline(time.Time{})
-	if _, err := s.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	err := s.awaitReadable()
+	switch {
+	case err == nil:
+		s.cancelIfDisconnected()
+	case !errors.Is(err, os.ErrDeadlineExceeded):
 		s.cancel()
 	}
 }
@@ -24,6 +28,7 @@
 // enqueueAnswer lets the answer to a request be written after those to the earlier ones. While too many are pending, nothing reads
 // the connection, so it watches for a disconnect.
 func (s *session) enqueueAnswer(p *pipelinedRequest) {
+	s.startWriter()
 	select {
 	case s.pipeline <- p:
 		return
@@ -42,7 +47,7 @@
 }
 
 // awaitStreamEnd waits until nothing more of a large body is read. The next request follows it, so a disconnect is not noticed by
-// reading.
+// reading. A body that makes no progress must not hold a slot, a reservation or a turn on a slow link that others wait for.
 func (s *session) awaitStreamEnd(stream *requestStream) {
 	ticker := time.NewTicker(disconnectCheckInterval)
 	defer ticker.Stop()
@@ -51,8 +56,11 @@
 		case <-stream.done:
 			<-stream.ended
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
 			s.cancelIfDisconnected()
+			if s.progress.requestStalled(now) >= maxSlotStall && s.handler.slotsWanted(now) {
+				s.endUnfinished()
+			}
 		}
 	}
 }
--- a/basillift/blforwarder/drain.go
+++ b/basillift/blforwarder/drain.go
@@ -92,8 +92,12 @@
 
 // canceledReason returns why the context of a request was canceled.
 func canceledReason(ctx context.Context) basillift.Reason {
-	if errors.Is(context.Cause(ctx), errStopping) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStopping):
 		return basillift.ReasonDraining
+	case errors.Is(cause, errGaveWay):
+		return basillift.ReasonDeadline
+	default:
+		return basillift.ReasonCallerGone
 	}
-	return basillift.ReasonCallerGone
 }
--- a/basillift/blforwarder/forwarder.go
+++ b/basillift/blforwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"basillift.dev/basillift/bladmit"
 	"basillift.dev/basillift/bladvisory"
 	"basillift.dev/basillift/blbalance"
+	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blpool"
@@ -73,7 +74,8 @@
 	// callerContext is canceled when the answers to callers are needed at once, at the end of a stop.
 	callerContext context.Context
 	endCallers    context.CancelCauseFunc
-	bodyBudget    bodyBudget
+	peers         *peerBudget
+	bodyBudget    *bodyBudget
 	// accepted are the requests at the target side.
 	accepted        *acceptedRequests
 	answerDeadlines *answerDeadlines
@@ -87,10 +89,12 @@
 // New returns a forwarder that routes by the holder's table to the targets of the fleet.
 func New(s Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *Forwarder {
 	advisories := bladvisory.New()
+	peers := newPeerBudget(s.limits)
+	poolLimits := func(address string) blpool.Limits { return s.poolLimits(address, peers.connections) }
 	f := &Forwarder{
-		settings: s, tables: tables, fleet: fleet, startedAt: time.Now(),
+		settings: s, tables: tables, fleet: fleet, startedAt: time.Now(), peers: peers, bodyBudget: peers.memory,
 		splitter: bltable.NewSplitter(rnd), balancer: blbalance.New(s.domain, advisories, rand.New(rand.NewSource(rnd.Int63()))),
-		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(s.poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
+		allowance: blretry.NewAllowance(s.retryRatio, s.fixedRetries, rand.New(rand.NewSource(rnd.Int63()))), pools: blpool.NewSet(poolLimits), admission: newAdmission(), advisories: advisories, log: log, answerSizes: newAnswerSizes(), routeStats: newRouteStats(), elapsedWaits: bladmit.NewElapsedWaitEstimator(), requestLog: newRequestLog(log),
 	}
 	f.crashes = newCrashDetector(f.pools.Of(s.targetAddress))
 	f.quarantine = newQuarantine(f.crashes.fingerprints)
@@ -104,8 +108,9 @@
 	}
 	f.counters = newCounters(f)
 	f.targetSide = &targetSide{forwarder: f}
-	f.callerServer = newServer(s.callerAddress, &callerSide{forwarder: f})
-	f.meshServer = newServer(s.meshAddress, f.targetSide)
+	f.callerServer = newServer(s.callerAddress, &callerSide{forwarder: f}, blbudget.ClassCaller, peers)
+	f.meshServer = newServer(s.meshAddress, f.targetSide, blbudget.ClassDaemon, peers)
+	peers.servers = []*server{f.callerServer, f.meshServer}
 	f.readyServer = &fasthttp.Server{Handler: f.serveReady, NoDefaultServerHeader: true}
 	return f
 }
@@ -235,6 +240,12 @@
 	return limits
 }
 
+// slotsWanted reports whether requests wait for a slot of the VM's target or for a turn on its slow link, or were refused a slot
+// lately.
+func (f *Forwarder) slotsWanted(now time.Time) bool {
+	return f.peers.refusedSlot(now) || f.admission.load().Queued() > 0 || f.transfers != nil && f.transfers.load().Queued() > 0
+}
+
 // positiveOr returns value if it is positive, and fallback otherwise.
 func positiveOr[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
--- a/basillift/blforwarder/metrics.go
+++ b/basillift/blforwarder/metrics.go
@@ -50,6 +50,7 @@
 	set.NewGauge("basillift_registry_revision", func() float64 { return float64(f.gossip.NewestRevision().Number()) })
 	set.NewGauge("basillift_registry_era", func() float64 { return float64(f.gossip.NewestRevision().Era()) })
 	set.NewGauge("basillift_machines", func() float64 { return float64(f.fleet.VMCount()) })
+	newBudgetMetrics(set, f.peers)
 	return &counters{
 		set:      set,
 		duration: set.NewHistogram("basillift_request_duration_seconds"),
@@ -60,6 +61,24 @@
 	}
 }
 
+// newBudgetMetrics adds the metrics of the budgets for peers, and of what was refused or closed because of them.
+func newBudgetMetrics(set *metrics.Set, p *peerBudget) {
+	values := map[string]func() int64{
+		"basillift_peer_memory_bytes":                                 p.memory.total,
+		"basillift_peer_memory_limit_bytes":                           p.limits.PeerBytes,
+		`basillift_connections{direction="accepted"}`:                 p.connections.peers.Load,
+		`basillift_connections{direction="opened"}`:                   p.connections.outgoing.Load,
+		"basillift_connections_limit":                                 func() int64 { return int64(p.limits.Connections()) },
+		`basillift_budget_refused_total{what="connection"}`:           p.connections.refused.Load,
+		`basillift_budget_refused_total{what="request"}`:              p.memory.refused.Load,
+		`basillift_budget_closed_total{reason="no-progress"}`:         p.closed.Load,
+		`basillift_budget_closed_total{reason="stalled-past-answer"}`: p.stalled.Load,
+	}
+	for name, value := range values {
+		set.NewGauge(name, func() float64 { return float64(value()) })
+	}
+}
+
 // countAnswer counts an answer to a caller by outcome and reason.
 func (c *counters) countAnswer(a *answer) {
 	name := `basillift_requests_total{outcome="` + string(a.outcome) + `",reason="` + string(a.reason) + `"}`
--- a/basillift/blforwarder/request.go
+++ b/basillift/blforwarder/request.go
@@ -17,11 +17,15 @@
 var (
 	errTooLarge       = eris.New("body is larger than allowed")
 	errTrailerTooLong = eris.New("trailer is too long")
+	errNoMemory       = eris.New("no memory is left for the body")
 )
 
 // maxTrailerLines bounds the trailer of a chunked body.
 const maxTrailerLines = 64
 
+// fieldBytes is what a header field takes besides its bytes.
+const fieldBytes = 64
+
 // field is one header field.
 type field struct{ name, value string }
 
@@ -37,6 +41,8 @@
 	close           bool
 	expectsContinue bool
 	arrived         time.Time
+	// headerBytes is about how much memory the header takes.
+	headerBytes int
 	// memory holds the bodies of the request and of the answers to it; nil if they are not bounded together with others.
 	memory *bodyMemory
 }
@@ -88,7 +94,9 @@
 			r.expectsContinue = strings.EqualFold(f.value, "100-continue")
 		}
 		r.fields = append(r.fields, f)
+		r.headerBytes += len(f.name) + len(f.value) + fieldBytes
 	}
+	r.headerBytes += len(r.uri) + len(r.host)
 	if chunked && lengths > 0 {
 		return nil, fmt.Errorf("read request: %w", fasthttp.ErrDuplicateContentLength)
 	}
@@ -98,7 +106,8 @@
 	return r, nil
 }
 
-// readBody reads the body into memory, or only its first part if it is large. It returns errTooLarge above the limit.
+// readBody reads the body into memory, or only its first part if it is large. It returns errTooLarge above the limit, and
+// errNoMemory if there is no memory for it: a body that is passed on before it has arrived would hold a slot, and load others.
 func (r *request) readBody(reader *bufio.Reader, limit int) error {
 	if r.size == 0 {
 		return nil
@@ -107,13 +116,15 @@
 		return fmt.Errorf("read request body: %w", errTooLarge)
 	}
 	source := bodyReader(reader, r.size)
-	body, more, err := readBuffered(source, r.size, r.memory)
+	body, more, err := readBuffered(source, r.size, r.memory.takeOrReclaim)
 	r.body = body
-	if err != nil {
+	switch {
+	case err != nil:
 		return fmt.Errorf("read request body: %w", err)
-	}
-	if more {
-		r.stream = newRequestStream(&maxBytesReader{source: source, left: limit - len(body)}, r.memory)
+	case more && (len(body) < maxBufferedBytes || !r.memory.takeOrReclaim(streamBytes)):
+		return fmt.Errorf("read request body: %w", errNoMemory)
+	case more:
+		r.stream = newRequestStream(&maxBytesReader{source: source, left: limit - len(body)}, r.memory, min(maxReadAheadBytes, r.memory.readAheadBytes()))
 	}
 	return nil
 }
@@ -134,9 +145,9 @@
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
-// readBuffered reads up to maxBufferedBytes, or less if the memory does not suffice, and reports whether the body has more. size
-// is the announced size of the body; negative if it is unknown.
-func readBuffered(source io.Reader, size int, memory *bodyMemory) (body []byte, more bool, err error) {
+// readBuffered reads up to maxBufferedBytes, or less if take returns false for the memory, and reports whether the body has more.
+// size is the announced size of the body; negative if it is unknown.
+func readBuffered(source io.Reader, size int, take func(n int) bool) (body []byte, more bool, err error) {
 	expected := size
 	if size < 0 || size > maxBufferedBytes {
 		expected = maxBufferedBytes
@@ -149,7 +160,7 @@
 			if size < 0 {
 				capacity = min(2*cap(body), capacity)
 			}
-			if !memory.take(capacity - cap(body)) {
+			if !take(capacity - cap(body)) {
 				break
 			}
 			body = append(make([]byte, 0, capacity), body...)
--- a/basillift/blforwarder/server.go
+++ b/basillift/blforwarder/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/blpool"
 )
 
@@ -27,6 +28,9 @@
 	address  string
 	handler  handler
 	listener net.Listener
+	class    blbudget.Class
+	peers    *peerBudget
+	buffers  bufferPool
 
 	mutex          sync.Mutex
 	sessions       map[*session]struct{}
@@ -40,8 +44,9 @@
 	tasks   sync.WaitGroup
 }
 
-func newServer(address string, h handler) *server {
-	return &server{address: address, handler: h, sessions: make(map[*session]struct{})}
+// newServer returns a server for connections of a class. It must be added to the servers of the budget.
+func newServer(address string, h handler, class blbudget.Class, peers *peerBudget) *server {
+	return &server{address: address, handler: h, class: class, peers: peers, sessions: make(map[*session]struct{})}
 }
 
 func (s *server) listen() error {
@@ -98,20 +103,42 @@
 }
 
 func (s *server) serve(ctx context.Context, conn net.Conn) {
+	if !s.peers.admit(s.class) {
+		// A reset tells the peer that nothing was read, and leaves no state in the kernel.
+		if t, ok := conn.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = conn.Close()
+		return
+	}
 	if d, err := blpool.DescriptorOf(conn); err == nil {
 		// On an error the connection is served without this timeout.
 		_ = blpool.SetTCPUserTimeout(d, serverTCPUserTimeout)
 	}
-	n := newSession(conn, s.handler, s)
+	n := newSession(conn, s.handler, s, time.Now())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.stopped {
 		_ = conn.Close()
+		s.peers.connections.close(s.class)
 		return
 	}
 	s.sessions[n] = struct{}{}
 	n.closing, n.refusing = s.draining, s.refusing
-	s.tasks.Go(func() { n.run(ctx) })
+	s.tasks.Go(func() {
+		n.run(ctx)
+		s.peers.connections.close(s.class)
+	})
+}
+
+// appendSessions appends the open sessions to a list.
+func (s *server) appendSessions(sessions []*session) []*session {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for n := range s.sessions {
+		sessions = append(sessions, n)
+	}
+	return sessions
 }
 
 func (s *server) remove(n *session) {
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,8 +39,13 @@
 type handler interface {
 	serve(ctx context.Context, r *request) *answer
 	connLimits() connLimits
-	// newBodyMemory returns the memory for the bodies of a request and of the answers to it.
-	newBodyMemory() *bodyMemory
+	// newBodyMemory returns the memory for the header and the body of a request and for the answers to it.
+	newBodyMemory(headerBytes int) *bodyMemory
+	// answerDeadline returns until when a request can be answered at the latest.
+	answerDeadline(r *request) time.Time
+	// slotsWanted reports whether other requests wait for a slot of the target or for a turn on a slow link, or were refused
+	// one lately.
+	slotsWanted(now time.Time) bool
 	// internal reports whether the peer is another daemon.
 	internal() bool
 }
@@ -47,12 +53,20 @@
 // session is one accepted connection with HTTP pipelining: its requests are read in order, run concurrently and are
 // answered in order.
 type session struct {
-	conn     net.Conn
-	reader   *bufio.Reader
-	handler  handler
-	cancel   context.CancelFunc
+	conn net.Conn
+	// socket is nil if the connection is no socket.
+	socket syscall.RawConn
+	// reader is nil while the session is idle.
+	reader  *bufio.Reader
+	handler handler
+	cancel  context.CancelFunc
+	// pipeline and written belong to the goroutine that writes answers. They are nil before the first request.
 	pipeline chan *pipelinedRequest
+	written  chan struct{}
 	server   *server
+	progress progress
+	// cancelStream ends the request whose body is still arriving while it is served; nil if there is none.
+	cancelStream atomic.Pointer[context.CancelCauseFunc]
 	// bodyUnread is set by the goroutine that reads requests if it left a body or a request unread.
 	bodyUnread bool
 
@@ -76,27 +90,33 @@
 	interim bool
 }
 
-func newSession(conn net.Conn, h handler, owner *server) *session {
-	size := max(blpool.BufferBytes, h.connLimits().headerBytes)
-	return &session{
-		conn: conn, reader: bufio.NewReaderSize(conn, size), handler: h, server: owner,
-		pipeline: make(chan *pipelinedRequest, pipelineDepth),
+func newSession(conn net.Conn, h handler, owner *server, now time.Time) *session {
+	s := &session{conn: conn, handler: h, server: owner}
+	s.progress.firstSince.Store(now.UnixNano())
+	if c, ok := conn.(syscall.Conn); ok {
+		// On an error the session holds a buffer while it is idle.
+		s.socket, _ = c.SyscallConn()
 	}
+	return s
 }
 
 // run reads requests until the peer closes the connection or the session ends.
 func (s *session) run(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
 	defer s.cancel()
-	written := make(chan struct{})
-	go s.loop(written)
-	if s.readRequests(ctx) {
+	disconnected := s.readRequests(ctx)
+	unreadBytes := s.reader != nil && s.reader.Buffered() > 0
+	s.releaseReader()
+	switch {
+	case disconnected:
 		s.cancel()
-	} else {
+	case !unreadBytes:
 		go s.cancelOnDisconnect()
 	}
-	close(s.pipeline)
-	<-written
+	if s.pipeline != nil {
+		close(s.pipeline)
+		<-s.written
+	}
 	s.discardUnread(time.Now())
 	s.server.remove(s)
 	_ = s.conn.Close()
@@ -110,14 +130,18 @@
 		return
 	}
 	_ = t.CloseWrite()
+	s.progress.requestSince.Store(now.UnixNano())
 	_ = t.SetReadDeadline(now.Add(discardTimeout))
+	if s.progress.gaveWay.Load() {
+		return
+	}
 	_, _ = io.Copy(io.Discard, t)
 }
 
 // readRequests starts each request that it reads, and reports whether the peer has disconnected.
 func (s *session) readRequests(ctx context.Context) (disconnected bool) {
-	var header fasthttp.RequestHeader
 	for {
+		s.endBody()
 		ready, disconnected := s.awaitRequest()
 		if !ready {
 			return disconnected
@@ -128,7 +152,9 @@
 		now := time.Now()
 		limits := s.handler.connLimits()
 		_ = s.conn.SetReadDeadline(now.Add(limits.headerTimeout))
-		r, err := readHeader(s.reader, &header, now)
+		header := fasthttp.AcquireRequest()
+		r, err := readHeader(s.reader, &header.Header, now)
+		fasthttp.ReleaseRequest(header)
 		if err != nil {
 			return s.reject(err, http.StatusBadRequest)
 		}
@@ -136,15 +162,13 @@
 		if r.expectsContinue && r.size != 0 {
 			s.enqueueAnswer(&pipelinedRequest{interim: true})
 		}
-		r.memory = s.handler.newBodyMemory()
-		if err = r.readBody(s.reader, limits.bodyBytes); err != nil {
+		r.memory = s.handler.newBodyMemory(r.headerBytes)
+		if err = s.readBody(r, limits.bodyBytes); err != nil {
 			r.memory.release()
-			if errors.Is(err, errTooLarge) {
-				return s.reject(err, http.StatusRequestEntityTooLarge)
-			}
-			return true
+			return s.rejectBody(err)
 		}
 		if r.stream != nil {
+			limitKernelBuffers(s.conn)
 			r.stream.interruptRead = s.interruptRead
 			go r.stream.loop()
 		}
@@ -157,11 +181,12 @@
 // awaitRequest waits for the first byte of the next request.
 func (s *session) awaitRequest() (ready, disconnected bool) {
 	for {
-		if !s.setIdleDeadline(time.Now()) {
+		if s.progress.gaveWay.Load() || !s.setIdleDeadline(time.Now()) {
 			return false, false
 		}
-		_, err := s.reader.Peek(1)
+		err := s.awaitBytes()
 		if err == nil {
+			s.progress.firstSince.Store(0)
 			return s.countRequest(), false
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && (s.busy() || s.startFinalRead()) {
@@ -234,6 +259,15 @@
 	s.mutex.Unlock()
 	p := &pipelinedRequest{request: r, answer: make(chan *answer, 1), lastOnConn: last}
 	s.enqueueAnswer(p)
+	if r.stream != nil {
+		streamCtx, cancel := context.WithCancelCause(ctx)
+		defer s.cancelStream.Store(nil)
+		s.cancelStream.Store(&cancel)
+		ctx = streamCtx
+		if s.progress.gaveWay.Load() {
+			cancel(errGaveWay)
+		}
+	}
 	go s.serve(ctx, p)
 	if r.stream != nil {
 		// The next request follows the rest of this body on the connection.
@@ -252,6 +286,9 @@
 		// A connection with a partly read body cannot carry another request.
 		if !p.request.stream.complete() {
 			a.close = true
+			if a.outcome == basillift.OutcomeNotRun && s.progress.requestStalled(time.Now()) >= minReportedStall {
+				a.status = http.StatusRequestTimeout
+			}
 		}
 		p.request.stream.end()
 	}
@@ -270,21 +307,34 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	}
+	s.rejectWith(rejectedAnswer(status, basillift.ReasonBadRequest))
+	return false
+}
+
+// rejectWith answers a request of which nothing was passed on, and ends the session after that.
+func (s *session) rejectWith(a *answer) {
 	s.bodyUnread = true
 	p := &pipelinedRequest{request: &request{}, answer: make(chan *answer, 1), lastOnConn: true}
-	p.answer <- rejectedAnswer(status, basillift.ReasonBadRequest)
+	p.answer <- a
+	s.startWriter()
 	s.pipeline <- p
-	return false
+}
+
+// startWriter starts the goroutine that writes answers, if it does not run yet. An idle connection does not need one.
+func (s *session) startWriter() {
+	if s.pipeline == nil {
+		s.pipeline, s.written = make(chan *pipelinedRequest, pipelineDepth), make(chan struct{})
+		go s.loop(s.pipeline, s.written)
+	}
 }
 
 // loop writes the answers in the order of the requests.
-func (s *session) loop(written chan<- struct{}) {
+func (s *session) loop(pipeline <-chan *pipelinedRequest, written chan<- struct{}) {
 	defer close(written)
-	w := bufio.NewWriterSize(s.conn, 4<<10)
 	broken := false
-	for p := range s.pipeline {
+	for p := range pipeline {
 		if p.interim {
-			if !broken && writeInterim(w) != nil {
+			if !broken && s.writeInterim() != nil {
 				broken = true
 				s.abort(true)
 			}
@@ -297,8 +347,7 @@
 			s.answerDone()
 			continue
 		}
-		// The connection has read deadlines only, so that an expired one does not truncate the answer.
-		err := a.write(w, s.handler.internal(), p.lastOnConn || s.closesAfterAnswer())
+		err := s.writeAnswer(a, p)
 		a.discard()
 		p.request.memory.release()
 		s.answerDone()
@@ -309,7 +358,21 @@
 	}
 }
 
-func writeInterim(w *bufio.Writer) error {
+// writeAnswer writes one answer. The connection has read deadlines only, so that an expired one does not truncate the answer.
+func (s *session) writeAnswer(a *answer, p *pipelinedRequest) error {
+	w := s.server.buffers.writer(progressWriter{s})
+	defer s.server.buffers.putWriter(w)
+	s.progress.writing.Store(p.request.memory)
+	if a.stream != nil || len(a.body) > kernelBytes {
+		limitKernelBuffers(s.conn)
+	}
+	defer s.progress.writing.Store(nil)
+	return a.write(w, s.handler.internal(), p.lastOnConn || s.closesAfterAnswer())
+}
+
+func (s *session) writeInterim() error {
+	w := s.server.buffers.writer(progressWriter{s})
+	defer s.server.buffers.putWriter(w)
 	_, _ = w.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write interim answer: %w", err)
--- a/basillift/blforwarder/settings.go
+++ b/basillift/blforwarder/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/blpool"
 )
 
@@ -55,12 +56,13 @@
 	fixedRetries  int
 	drainPeriod   time.Duration
 	slowLink      bool
+	limits        blbudget.Limits
 }
 
 // NewSettings returns settings with the addresses on which callers, other daemons and readiness checks connect. By
 // default retries are limited to 0.1 of the requests plus 10, and a leaving target may be used for 2 s.
 func NewSettings(callerAddress, meshAddress, readyAddress string) Settings {
-	return Settings{callerAddress: callerAddress, meshAddress: meshAddress, readyAddress: readyAddress, retryRatio: 0.1, fixedRetries: 10, drainPeriod: 2 * time.Second}
+	return Settings{callerAddress: callerAddress, meshAddress: meshAddress, readyAddress: readyAddress, retryRatio: 0.1, fixedRetries: 10, drainPeriod: 2 * time.Second, limits: blbudget.NewLimits(0, 0)}
 }
 
 // WithTarget sets the VM's own target: its address, service and failure domain.
@@ -93,10 +95,16 @@
 	return s
 }
 
+// WithLimits sets how much memory and how many connections may be used.
+func (s Settings) WithLimits(l blbudget.Limits) Settings {
+	s.limits = l
+	return s
+}
+
 // poolLimits returns the limits of the connections to an address.
-func (s Settings) poolLimits(address string) blpool.Limits {
+func (s Settings) poolLimits(address string, gate blpool.Gate) blpool.Limits {
 	if address == s.targetAddress {
-		return blpool.NewLimits(maxConnectionsPerAddress, targetIdleTimeout, connectTimeout)
+		return blpool.NewLimits(maxConnectionsPerAddress, targetIdleTimeout, connectTimeout).WithGate(gate)
 	}
-	return blpool.NewLimits(maxConnectionsPerAddress, meshIdleTimeout, connectTimeout).WithTCPUserTimeout(daemonTCPUserTimeout)
+	return blpool.NewLimits(maxConnectionsPerAddress, meshIdleTimeout, connectTimeout).WithTCPUserTimeout(daemonTCPUserTimeout).WithGate(gate)
 }
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -65,7 +65,11 @@
 
 func (t *targetSide) internal() bool { return true }
 
-func (t *targetSide) newBodyMemory() *bodyMemory { return t.forwarder.bodyBudget.newMemory() }
+func (t *targetSide) newBodyMemory(headerBytes int) *bodyMemory {
+	return t.forwarder.bodyBudget.newMemory(headerBytes)
+}
+
+func (t *targetSide) slotsWanted(now time.Time) bool { return t.forwarder.slotsWanted(now) }
 
 func (t *targetSide) connLimits() connLimits {
 	limits := t.forwarder.connLimits()
@@ -149,6 +153,7 @@
 	id, refusal := f.admission.acquire(ctx, now, run.accepted, meta)
 	if refusal != nil {
 		refusal.nestedCall = meta.nestedCall
+		f.peers.noteRefusedSlot(now)
 		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
 			// This daemon or its target serves no requests soon, whatever the queue expects.
 			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -20,6 +20,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/blfeed"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/blforwarder"
@@ -100,7 +101,8 @@
 		WithHeaderNames(platform.HeaderNames()).
 		WithRetryAllowance(s.RetryShare(), s.RetryAllowance()).
 		WithDrainPeriod(s.LeavingPeriod()).
-		WithSlowLink(hasSlowLink(s))
+		WithSlowLink(hasSlowLink(s)).
+		WithLimits(blbudget.NewLimits(s.MemoryMB(), s.Descriptors()))
 	return blforwarder.New(settings, tables, fleet, log, rnd)
 }
 
@@ -163,6 +165,9 @@
 // run serves until ctx ends or a part fails, and then shuts down gracefully.
 func (d *tableDaemon) run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
+	if heapBytes := blbudget.NewLimits(d.settings.MemoryMB(), d.settings.Descriptors()).HeapBytes(); heapBytes > 0 {
+		debug.SetMemoryLimit(heapBytes)
+	}
 	if err := d.forwarder.Listen(); err != nil {
 		return fmt.Errorf("forwarder: %w", errors.Join(errListen, err))
 	}
