--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -248,7 +248,7 @@
 	if a.load != nil {
 		f.advisories.ObserveReport(ended, target.Endpoint(), a.load.Advisory())
 	}
-	f.balancer.Ended(ended, target, query, balancerResult(ctx, result, a.timedOut), ended.Sub(now), a.load)
+	f.balancer.Ended(ended, target, query, balancerResult(ctx, rr.request, result, a.timedOut), ended.Sub(now), a.load)
 	if a.suspicion != nil {
 		f.adoptSuspicions(ended, *a.suspicion)
 	}
@@ -270,11 +270,12 @@
 }
 
 // balancerResult translates the result of an attempt into what the balancer records about the target.
-func balancerResult(ctx context.Context, result blretry.AttemptResult, timedOut bool) blbalance.Result {
+func balancerResult(ctx context.Context, r *request, result blretry.AttemptResult, timedOut bool) blbalance.Result {
 	switch {
 	case result == blretry.AttemptAnswered:
 		return blbalance.ResultAnswered
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), r.stalled():
+		// A body that the caller does not finish is not the target's failure.
 		return blbalance.ResultCanceled
 	case timedOut:
 		return blbalance.ResultSilent
--- a/basillift/blforwarder/doc.go
+++ b/basillift/blforwarder/doc.go
@@ -29,8 +29,13 @@
 // over it is reserved, otherwise a slot of the target. That avoids transfers that end in a
 // refusal, and concurrent transfers that fill the link.
 //
-// All bodies that a daemon holds in memory share a bodyBudget. Once it is used up, bodies of
-// requests and answers are streamed, as large ones always are.
+// # Limits
+//
+// All that peers make a daemon hold shares a memory budget, and all connections share a
+// connection budget (peerBudget; package blbudget decides). When one is used up, connections
+// that make no progress give way, then new bodies and connections are refused. Answers are
+// streamed, as large ones always are. A body that has not arrived when its request can no
+// longer be answered is refused as not run.
 //
 // # Usage
 //
--- a/basillift/blforwarder/limits_test.go
+++ b/basillift/blforwarder/limits_test.go
@@ -13,8 +13,10 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blbalance"
 	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/blretry"
 	"basillift.dev/basillift/bltable"
 )
 
@@ -127,6 +129,19 @@
 	assertBecomesServed(t, m, post("last", "x"))
 }
 
+// Guards against a target that is avoided because a caller did not finish its body.
+func TestStalledBodyIsNoFailureOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	stalls := true
+	source, _ := io.Pipe()
+	r := &request{stream: newRequestStream(source, nil, maxReadAheadBytes), bodyStalled: func() bool { return stalls }}
+	is.Equal(balancerResult(t.Context(), r, blretry.AttemptBroken, false), blbalance.ResultCanceled)
+	is.Equal(balancerResult(t.Context(), r, blretry.AttemptAnswered, false), blbalance.ResultAnswered)
+	stalls = false
+	is.Equal(balancerResult(t.Context(), r, blretry.AttemptBroken, false), blbalance.ResultBroken)
+	is.Equal(balancerResult(t.Context(), &request{}, blretry.AttemptBroken, false), blbalance.ResultBroken)
+}
+
 // Guards against a target that cuts off its answer, or a daemon that drops it, because the caller reads slowly.
 func TestAnswerIsReadAheadOfSlowCaller(t *testing.T) {
 	// More than the kernel holds at both ends of two connections.
--- a/basillift/blforwarder/progress.go
+++ b/basillift/blforwarder/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"basillift.dev/basillift/blbudget"
+	"basillift.dev/basillift/blpool"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// kernelBytes bounds the bytes of a large body that the kernel holds for a peer that sends faster than the body can be
 	// sent on, or reads slowly. Otherwise the kernel lets its buffers grow to several MB for each connection.
 	kernelBytes = 128 << 10
+	// slowReaderTimeout is how long a peer may read nothing of a large answer; less when the memory is needed. The kernel closes
+	// a connection whose peer reads nothing for the TCP user timeout, like one whose peer is gone.
+	slowReaderTimeout = 15 * time.Second
 )
 
 // errGaveWay is the cause of the end of a context of a request that makes no progress and whose memory, connection or slot is
@@ -107,6 +112,15 @@
 	}
 }
 
+// prepareLargeAnswer bounds what the kernel holds of a large answer, and gives the peer time to read it.
+func (s *session) prepareLargeAnswer() {
+	limitKernelBuffers(s.conn)
+	if s.socket != nil {
+		// On an error the shorter timeout stays.
+		_ = blpool.TCPUserTimeoutControl(slowReaderTimeout)(context.Background(), "", "", s.socket)
+	}
+}
+
 // giveWay ends the session of a peer that makes no progress. A request that is not complete yet is refused.
 func (s *session) giveWay(w blbudget.Waiting) {
 	if !s.progress.gaveWay.CompareAndSwap(false, true) {
--- a/basillift/blforwarder/request.go
+++ b/basillift/blforwarder/request.go
@@ -43,6 +43,8 @@
 	arrived         time.Time
 	// headerBytes is about how much memory the header takes.
 	headerBytes int
+	// bodyStalled reports whether the rest of a large body has made no progress; nil if the body is in memory.
+	bodyStalled func() bool
 	// memory holds the bodies of the request and of the answers to it; nil if they are not bounded together with others.
 	memory *bodyMemory
 }
@@ -50,6 +52,11 @@
 // buffered reports whether the whole body is in memory, so that the request can be sent again.
 func (r *request) buffered() bool { return r.stream == nil }
 
+// stalled reports whether the body is not complete because the peer sends nothing more.
+func (r *request) stalled() bool {
+	return r.bodyStalled != nil && !r.stream.complete() && r.bodyStalled()
+}
+
 // header returns the first value of a header field, or "" without one.
 func (r *request) header(name string) string {
 	for _, f := range r.fields {
--- a/basillift/blforwarder/session.go
+++ b/basillift/blforwarder/session.go
@@ -169,6 +169,7 @@
 		}
 		if r.stream != nil {
 			limitKernelBuffers(s.conn)
+			r.bodyStalled = s.bodyStalled
 			r.stream.interruptRead = s.interruptRead
 			go r.stream.loop()
 		}
@@ -181,7 +182,7 @@
 // awaitRequest waits for the first byte of the next request.
 func (s *session) awaitRequest() (ready, disconnected bool) {
 	for {
-		if s.progress.gaveWay.Load() || !s.setIdleDeadline(time.Now()) {
+		if !s.setIdleDeadline(time.Now()) || s.progress.gaveWay.Load() {
 			return false, false
 		}
 		err := s.awaitBytes()
@@ -286,7 +287,7 @@
 		// A connection with a partly read body cannot carry another request.
 		if !p.request.stream.complete() {
 			a.close = true
-			if a.outcome == basillift.OutcomeNotRun && s.progress.requestStalled(time.Now()) >= minReportedStall {
+			if a.outcome == basillift.OutcomeNotRun && p.request.stalled() {
 				a.status = http.StatusRequestTimeout
 			}
 		}
@@ -364,7 +365,7 @@
 	defer s.server.buffers.putWriter(w)
 	s.progress.writing.Store(p.request.memory)
 	if a.stream != nil || len(a.body) > kernelBytes {
-		limitKernelBuffers(s.conn)
+		s.prepareLargeAnswer()
 	}
 	defer s.progress.writing.Store(nil)
 	return a.write(w, s.handler.internal(), p.lastOnConn || s.closesAfterAnswer())
--- a/basillift/blforwarder/sessionbody.go
+++ b/basillift/blforwarder/sessionbody.go
@@ -22,10 +22,10 @@
 			return err
 		}
 	}
-	if s.busy() && s.server.peers.exhausted() {
+	for s.busy() && s.server.peers.exhausted() {
 		// The requests before this one will be answered, and their memory released.
 		time.Sleep(pipelineRetryInterval)
-		return os.ErrDeadlineExceeded
+		s.cancelIfDisconnected()
 	}
 	s.attachReader()
 	if _, err := s.reader.Peek(1); err != nil {
@@ -82,6 +82,11 @@
 	return err
 }
 
+// bodyStalled reports whether the body that is arriving has made no progress for some time.
+func (s *session) bodyStalled() bool {
+	return s.progress.requestStalled(time.Now()) >= minReportedStall
+}
+
 // endBody notes that no body is arriving.
 func (s *session) endBody() { s.progress.reading.Store(nil) }
 
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -83,6 +83,7 @@
 	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if refusal != nil {
+		f.peers.noteRefusedSlot(now)
 		a = refusal
 	}
 	a.load = t.loadReport()
