--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -48,12 +48,6 @@
 	timedOut bool
 }
 
-// answerStream is the rest of a large body. finish must be called once; complete is false if the body was truncated.
-type answerStream struct {
-	source io.Reader
-	finish func(complete bool)
-}
-
 // header returns the first value of a header field, or "" without one.
 func (a *answer) header(name string) string {
 	for _, f := range a.fields {
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -98,7 +98,7 @@
 		// The answer outlives this call. From here on only the connection's own deadline bounds it.
 		stopped := e.detachContext()
 		e.detachContext = func() bool { return stopped }
-		e.readAnswerAhead(a)
+		a.stream.readAhead(e, a.reusable)
 		return a, nil
 	}
 	if a.keepAlive > 0 {
@@ -108,23 +108,6 @@
 	return a, nil
 }
 
-// readAnswerAhead reads the rest of a large answer while its first part is sent on, as far as the memory allows. A target cuts off
-// an answer that stays unread for some seconds, and the caller may read slowly.
-func (e *exchange) readAnswerAhead(a *receivedAnswer) {
-	ahead := newReadAhead(a.stream.source, e.request.memory, e.request.memory.readAheadBytes())
-	ahead.interruptRead = func() { _ = e.conn.SetDeadline(time.Unix(1, 0)) }
-	limitKernelBuffers(e.conn.Conn)
-	go ahead.loop()
-	a.stream.source = ahead
-	a.stream.finish = func(complete bool) {
-		if !complete {
-			ahead.stop()
-		}
-		<-ahead.ended
-		e.finish(complete && a.reusable)
-	}
-}
-
 func (e *exchange) roundTrip() (*receivedAnswer, error) {
 	if e.request.buffered() && len(e.request.body) <= maxInlineBodyBytes {
 		if err := e.write(); err != nil {
--- a/basillift/blforwarder/limits_test.go
+++ b/basillift/blforwarder/limits_test.go
@@ -162,3 +162,21 @@
 	is.New(t).NoErr(a.err)
 	is.New(t).Equal(len(a.body), size)
 }
+
+// Guards against callers that read nothing and so hold the slots of a target that has given its answers.
+func TestUnreadAnswerReturnsItsSlot(t *testing.T) {
+	const size = 40 << 20
+	m := startLimited(t, blbudget.NewLimits(600, 0), startTarget(t, func(w net.Conn, r *http.Request, _ []byte) bool {
+		_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), size, strings.Repeat("a", size))
+		return err == nil
+	}), hangGuard)
+	c := m.dial(t, 0)
+	c.send(withoutTimeLimit(get("1", "/get/x")))
+	_, err := c.reader.Peek(1)
+	is.New(t).NoErr(err)
+	for end := time.Now().Add(slowReaderTimeout); m.forwarders[0].admission.load().Running() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the slot is still taken")
+		}
+	}
+}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -182,11 +182,7 @@
 		f.admission.release(time.Now(), id, observed)
 		return a
 	}
-	finish := a.stream.finish
-	a.stream.finish = func(complete bool) {
-		finish(complete)
-		f.admission.release(time.Now(), id, complete)
-	}
+	a.stream.onReceived(func(complete bool) { f.admission.release(time.Now(), id, complete) })
 	return a
 }
 
