--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -114,6 +114,9 @@
 			return nil, err
 		}
 	} else {
+		if !e.request.buffered() {
+			e.conn.AllowPause(slowReaderTimeout)
+		}
 		e.sender = &sender{exchange: e, done: make(chan struct{})}
 		go e.sender.run()
 	}
--- a/basillift/blforwarder/limits_test.go
+++ b/basillift/blforwarder/limits_test.go
@@ -180,3 +180,30 @@
 		}
 	}
 }
+
+// Guards against an upload that breaks off because the next daemon has to pause while a target reads slowly: the kernel of the
+// sending daemon took it for gone.
+func TestUploadToSlowTarget(t *testing.T) {
+	// More than the kernel and both daemons hold.
+	body := strings.Repeat("s", 16<<20)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(5 * daemonTCPUserTimeout)
+		n, _ := io.Copy(io.Discard, r.Body)
+		w.Header()["X-Id"], w.Header()["X-Seal"] = r.Header["X-Id"], []string{"s"}
+		_, _ = fmt.Fprint(w, n)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	// With little memory the next daemon reads only some hundred KB ahead.
+	m := startLimited(t, blbudget.NewLimits(1, 0), &fakeTarget{address: listener.Addr().String()}, hangGuard)
+	m.start(t, 1, startTarget(t, answerOK))
+	m.fleet.Apply(time.Now(), removalOf("t1", 9))
+	current := m.tables.Current().RoutingSpec()
+	_, err = m.tables.Adopt(basillift.NewRoutingSpec(2, current.Routes(), current.Services(), basillift.NewClientLimits(0, len(body), 0, 0)))
+	is.New(t).NoErr(err)
+	c := m.dial(t, 1)
+	go func() { _, _ = io.WriteString(c.conn, withoutTimeLimit(post("1", body))) }()
+	c.assertAnswer(http.StatusOK, fmt.Sprint(len(body)))
+}
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -33,6 +33,9 @@
 	// onRead is called after bytes have arrived during the current call; nil for no function.
 	onRead    func()
 	idleSince time.Time
+	// userTimeout is the TCP user timeout; 0 for the default of the system. pauseAllowed is set while a longer one holds.
+	userTimeout  time.Duration
+	pauseAllowed bool
 	// maxIdle is how long the connection may stay idle. The server can shorten it.
 	maxIdle time.Duration
 }
@@ -46,7 +49,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	c := &Conn{Conn: raw, descriptor: descriptor, maxIdle: l.maxIdle}
+	c := &Conn{Conn: raw, descriptor: descriptor, maxIdle: l.maxIdle, userTimeout: l.userTimeout}
 	c.reader = bufio.NewReaderSize(c, BufferBytes)
 	c.writer = bufio.NewWriterSize(c, BufferBytes)
 	return c, nil
@@ -127,6 +130,15 @@
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
+// AllowPause raises the TCP user timeout until the end of the call, for a call whose request the peer may read slowly: the kernel
+// takes a peer that reads nothing for that time for one that is gone.
+func (c *Conn) AllowPause(d time.Duration) {
+	if c.userTimeout > 0 && d > c.userTimeout {
+		// On an error the shorter timeout stays.
+		c.pauseAllowed = SetTCPUserTimeout(c.descriptor, d) == nil
+	}
+}
+
 // OnRead sets a function that is called whenever bytes arrive until the call ends.
 func (c *Conn) OnRead(f func()) { c.onRead = f }
 
@@ -201,9 +213,12 @@
 func (c *Conn) Begin(deadline time.Time) error {
 	c.written, c.onRead = 0, nil
 	c.calls++
-	err := c.SetDeadline(deadline)
-	if err != nil {
+	if err := c.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
 	}
+	if c.pauseAllowed {
+		c.pauseAllowed = false
+		return SetTCPUserTimeout(c.descriptor, c.userTimeout)
+	}
 	return nil
 }
