--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -49,12 +49,6 @@
 	timedOut bool
 }
 
-// answerStream is the rest of a large body. finish must be called once; complete is false if the body was truncated.
-type answerStream struct {
-	source io.Reader
-	finish func(complete bool)
-}
-
 // header returns the first value of a header field, or "" without one.
 func (a *answer) header(name string) string {
 	for _, f := range a.fields {
@@ -292,7 +286,7 @@
 		ra.reusable = false
 		ra.length = -1
 	}
-	body, more, err := readBuffered(source, ra.length, memory)
+	body, more, err := readBuffered(source, ra.length, memory.take)
 	if err != nil {
 		return fmt.Errorf("read answer body: %w", err)
 	}
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -100,7 +100,7 @@
 		// The answer outlives this call. From here on only the connection's own deadline bounds it.
 		stopped := e.detachContext()
 		e.detachContext = func() bool { return stopped }
-		a.stream.finish = func(complete bool) { e.finish(complete && a.reusable) }
+		a.stream.readAhead(e, a.reusable)
 		return a, nil
 	}
 	if a.keepAlive > 0 {
@@ -116,6 +116,9 @@
 			return nil, err
 		}
 	} else {
+		if !e.request.buffered() {
+			e.conn.AllowPause(slowReaderTimeout)
+		}
 		e.sender = &sender{exchange: e, done: make(chan struct{})}
 		go e.sender.run()
 	}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -69,7 +69,11 @@
 
 func (t *targetSide) internal() bool { return true }
 
-func (t *targetSide) newBodyMemory() *bodyMemory { return t.forwarder.bodyBudget.newMemory() }
+func (t *targetSide) newBodyMemory(headerBytes int) *bodyMemory {
+	return t.forwarder.bodyBudget.newMemory(headerBytes)
+}
+
+func (t *targetSide) slotsWanted(now time.Time) bool { return t.forwarder.slotsWanted(now) }
 
 func (t *targetSide) connLimits() connLimits {
 	limits := t.forwarder.connLimits()
@@ -156,6 +160,7 @@
 	if refusal != nil {
 		refusal.nestedCall = meta.nestedCall
 		refusal = f.explainRefusal(refusal)
+		f.peers.noteRefusedSlot(now)
 		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
 			// This daemon or its target serves no requests soon, whatever the queue expects.
 			refusal.reason, refusal.retryAfter, refusal.admission = basillift.ReasonDraining, 0, ""
@@ -187,11 +192,7 @@
 		f.admission.release(time.Now(), id, observed)
 		return a
 	}
-	finish := a.stream.finish
-	a.stream.finish = func(complete bool) {
-		finish(complete)
-		f.admission.release(time.Now(), id, complete)
-	}
+	a.stream.onReceived(func(complete bool) { f.admission.release(time.Now(), id, complete) })
 	return a
 }
 
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -84,6 +84,7 @@
 	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if refusal != nil {
+		f.peers.noteRefusedSlot(now)
 		a = f.explainRefusal(refusal)
 	}
 	a.load = t.loadReport()
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -38,6 +38,9 @@
 	openedWhenIdle uint64
 	// closedSince is the value of Replaces; zero for none.
 	closedSince time.Time
+	// userTimeout is the TCP user timeout; 0 for the default of the system. pauseAllowed is set while a longer one holds.
+	userTimeout  time.Duration
+	pauseAllowed bool
 	// maxIdle is how long the connection may stay idle. The server can shorten it.
 	maxIdle time.Duration
 }
@@ -51,7 +54,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	c := &Conn{Conn: raw, descriptor: descriptor, maxIdle: l.maxIdle}
+	c := &Conn{Conn: raw, descriptor: descriptor, maxIdle: l.maxIdle, userTimeout: l.userTimeout}
 	c.reader = bufio.NewReaderSize(c, BufferBytes)
 	c.writer = bufio.NewWriterSize(c, BufferBytes)
 	return c, nil
@@ -132,6 +135,15 @@
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
+// AllowPause raises the TCP user timeout until the end of the call, for a call whose request the peer may read slowly: the kernel
+// takes a peer that reads nothing for that time for one that is gone.
+func (c *Conn) AllowPause(d time.Duration) {
+	if c.userTimeout > 0 && d > c.userTimeout {
+		// On an error the shorter timeout stays.
+		c.pauseAllowed = SetTCPUserTimeout(c.descriptor, d) == nil
+	}
+}
+
 // OnRead sets a function that is called whenever bytes arrive until the call ends.
 func (c *Conn) OnRead(f func()) { c.onRead = f }
 
@@ -173,6 +185,14 @@
 // accept. Unlike a read with a short deadline it also tells that to a process that had no time to run before the deadline.
 func Readable(c syscall.Conn) (bool, error) { return poll(c, unix.POLLIN) }
 
+// ReadableDescriptor is like Readable for a descriptor. As the function of syscall.RawConn.Read it lets that wait without a
+// buffer.
+func ReadableDescriptor(descriptor uintptr) bool {
+	pollFDs := [1]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+	n, err := unix.Poll(pollFDs[:], 0)
+	return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
+}
+
 // poll reports whether one of the events is pending.
 func poll(c syscall.Conn, events int16) (bool, error) {
 	rc, err := c.SyscallConn()
@@ -216,9 +236,12 @@
 func (c *Conn) Begin(deadline time.Time) error {
 	c.written, c.onRead = 0, nil
 	c.calls++
-	err := c.SetDeadline(deadline)
-	if err != nil {
+	if err := c.SetDeadline(deadline); err != nil {
 		return fmt.Errorf("set deadline: %w", err)
 	}
+	if c.pauseAllowed {
+		c.pauseAllowed = false
+		return SetTCPUserTimeout(c.descriptor, c.userTimeout)
+	}
 	return nil
 }
