--- a/basillift/bladmit/requestlimit.go
+++ b/basillift/bladmit/requestlimit.go
@@ -10,10 +10,10 @@
 	// limitBurstTime is the time for which an idle target's unused requests are kept, so that requests which arrive
 	// together do not all have to wait. It is well below the second for which the target names its limit.
 	limitBurstTime = 250 * time.Millisecond
-	// coldBurstTime is the same for a cold target. A cold target crashes above 1.5 times its rate, and a request may reach it
-	// 300 ms after it was counted, when its slot was reserved for a large body; so the sum of both has to stay well below the
-	// half of a second.
-	coldBurstTime = 50 * time.Millisecond
+	// coldBurst is the number of unused requests that are kept for a cold target. In any second it may get half of its rate and 8
+	// requests more than its rate, and a request may reach it 300 ms after it was counted, when its slot was reserved for a large
+	// body. So the sum of both stays below that, whatever the rate is.
+	coldBurst = 4
 	// minRequestLimit keeps a request going to a target from time to time, since only an answer can end a limit.
 	minRequestLimit = 0.1
 	// maxReturnSpread bounds by how much the return of a refused request is delayed behind those refused before it.
@@ -78,7 +78,7 @@
 
 // lower returns the lower limit, and how many unused requests are kept; 0 without a limit.
 func (l *requestLimit) lower() (perSecond float64, burst int) {
-	own, cold := l.own.burst(limitBurstTime), l.cold.burst(coldBurstTime)
+	own, cold := l.own.burst(limitBurstTime), coldBurst
 	switch {
 	case l.own.limited && l.cold.limited:
 		perSecond, burst = min(l.own.perSecond, l.cold.perSecond), min(own, cold)
--- a/basillift/blforwarder/healthcheck.go
+++ b/basillift/blforwarder/healthcheck.go
@@ -77,14 +77,18 @@
 	return blwarmup.HealthFailed
 }
 
-// parseHealthAnswer reads for how long a target stays cold.
+// parseHealthAnswer reads for how long a target stays cold. A target that is warm leaves the header out.
 func parseHealthAnswer(names basillift.HeaderNames, a *answer) blwarmup.HealthAnswer {
 	if a.status != http.StatusOK {
 		return blwarmup.NewHealthFailure(blwarmup.HealthFailed)
 	}
-	millis, err := strconv.ParseFloat(a.header(names.Cold()), 64)
+	instance, text := a.header(names.AnsweringInstance()), a.header(names.Cold())
+	if text == "" && instance != "" {
+		return blwarmup.NewHealthAnswer(instance, 0)
+	}
+	millis, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(millis) || millis < 0 || millis > float64(maxColdTime.Milliseconds()) {
 		return blwarmup.NewHealthFailure(blwarmup.HealthNoHeader)
 	}
-	return blwarmup.NewHealthAnswer(a.header(names.AnsweringInstance()), time.Duration(millis*float64(time.Millisecond)))
+	return blwarmup.NewHealthAnswer(instance, time.Duration(millis*float64(time.Millisecond)))
 }
--- a/basillift/blwarmup/check.go
+++ b/basillift/blwarmup/check.go
@@ -16,7 +16,7 @@
 const (
 	// HealthKnown means that the answer says how long the target stays cold.
 	HealthKnown HealthResult = "known"
-	// HealthNoHeader means that the answer is that of a healthy target, but does not say it.
+	// HealthNoHeader means that the answer is that of a healthy target, but names neither a valid time nor an instance.
 	HealthNoHeader HealthResult = "no-header"
 	// HealthOtherInstance means that another instance answered than the one of the registry's entry.
 	HealthOtherInstance HealthResult = "other-instance"
