--- a/basillift/bladmit/parentestimator.go
+++ b/basillift/bladmit/parentestimator.go
@@ -95,18 +95,11 @@
 // AttributeCall records a call of callRoute: it attributes a fraction of the call to each route with running requests, and
 // returns the route that has most likely made it. Use it once for each call. Found is false if no request runs.
 func (e *ParentEstimator) AttributeCall(callRoute string) (parent Parent, found bool) {
-	counts := e.callCounts[callRoute]
-	total, maxLikelihood := 0.0, 0.0
-	for route, p := range e.routes {
-		w := p.likelihood(counts[route])
-		total += w
-		if w > maxLikelihood || w == maxLikelihood && w > 0 && route < parent.route {
-			parent, maxLikelihood = Parent{route: route, rank: p.rank, retryProbability: min(1, p.retries/float64(p.running))}, w
-		}
-	}
+	parent, total := e.likelyParent(callRoute)
 	if total == 0 {
 		return Parent{}, false
 	}
+	counts := e.callCounts[callRoute]
 	if counts == nil {
 		if len(e.callCounts) >= maxRoutes {
 			clear(e.callCounts)
