--- a/basillift/bltable/table_test.go
+++ b/basillift/bltable/table_test.go
@@ -152,3 +152,21 @@
 	s.Retain(build(t, route("x", "/x/")))
 	is.Equal(len(s.routes), 0)
 }
+
+// Guards against an explanation that shows another service than the next request gets, or that moves the split on.
+func TestPreviewOfSplit(t *testing.T) {
+	is := is.New(t)
+	s := NewSplitter(rand.New(rand.NewSource(1)))
+	r := route("r", "/a/", basillift.NewWeightedService("catalogue", 3), basillift.NewWeightedService("gallery", 2))
+	_, known := s.Preview(&r)
+	is.True(!known)
+	is.Equal(len(s.routes), 0)
+	s.Pick(&r)
+	for range 20 {
+		first, _ := s.Preview(&r)
+		second, known := s.Preview(&r)
+		is.True(known)
+		is.Equal(first, second)
+		is.Equal(s.Pick(&r), first)
+	}
+}
