--- a/basillift/bladmin/doc.go
+++ b/basillift/bladmin/doc.go
@@ -21,5 +21,6 @@
 // A daemon that routes by table has NewTableServer instead, with /metrics, /health, /ready and
 //
 //	GET  /table     the routing table in force, in the form of bltable.Parse
-//	GET  /explain   query host and path; JSON array of steps
+//	GET  /explain   query host, path, bytes and deadline in ms (0 if missing); JSON array of steps, the decision first
+//	GET  /explain/parts  the same as a blexplain.Explanation
 package bladmin
--- a/basillift/bladmin/table.go
+++ b/basillift/bladmin/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blexplain"
 	"basillift.dev/basillift/bltable"
 )
 
@@ -19,8 +21,8 @@
 	Ready() bool
 	// Table is the routing table in force; nil before the first one.
 	Table() *bltable.Table
-	// ExplainRoute returns the steps that show where a request would go.
-	ExplainRoute(now time.Time, host, path string) []string
+	// ExplainRoute says where a request would go and why, without sending it.
+	ExplainRoute(now time.Time, q blexplain.Query) blexplain.Explanation
 	// WriteMetrics writes the daemon's own metrics as Prometheus text.
 	WriteMetrics(w io.Writer)
 }
@@ -33,7 +35,12 @@
 	h := &tableHandlers{source: s}
 	r := router.New()
 	r.GET("/table", h.table)
-	r.GET("/explain", h.explain)
+	r.GET("/explain", func(ctx *fasthttp.RequestCtx) {
+		h.explain(ctx, func(e blexplain.Explanation) any { return e.Lines })
+	})
+	r.GET("/explain/parts", func(ctx *fasthttp.RequestCtx) {
+		h.explain(ctx, func(e blexplain.Explanation) any { return e })
+	})
 	r.GET("/metrics", h.metrics)
 	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusOK) })
 	r.GET("/ready", h.ready)
@@ -55,14 +62,34 @@
 	ctx.SetBody(data)
 }
 
-func (h *tableHandlers) explain(ctx *fasthttp.RequestCtx) {
+// explain answers with the form of an explanation that is asked for.
+func (h *tableHandlers) explain(ctx *fasthttp.RequestCtx, form func(blexplain.Explanation) any) {
 	query := ctx.QueryArgs()
 	host, path := string(query.Peek("host")), string(query.Peek("path"))
 	if host == "" || path == "" {
 		ctx.Error("query parameters host and path must be set", fasthttp.StatusBadRequest)
 		return
 	}
-	writeJSON(ctx, h.source.ExplainRoute(time.Now(), host, path))
+	size, errSize := optionalInt(query, "bytes")
+	deadlineMillis, errDeadline := optionalInt(query, "deadline")
+	if errSize != nil || errDeadline != nil {
+		ctx.Error("query parameters bytes and deadline must be numbers of 0 to 2147483647", fasthttp.StatusBadRequest)
+		return
+	}
+	q := blexplain.NewQuery(host, path).WithBytes(size).WithDeadline(time.Duration(deadlineMillis) * time.Millisecond)
+	writeJSON(ctx, form(h.source.ExplainRoute(time.Now(), q)))
+}
+
+// optionalInt returns a number of a query, or 0 without one.
+func optionalInt(query *fasthttp.Args, name string) (int, error) {
+	if !query.Has(name) {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(string(query.Peek(name)), 10, 31)
+	if err != nil {
+		return 0, fmt.Errorf("parse query parameter %s: %w", name, err)
+	}
+	return int(n), nil
 }
 
 func (h *tableHandlers) metrics(ctx *fasthttp.RequestCtx) {
@@ -91,11 +118,24 @@
 }
 
 // ExplainRoute returns the steps that show where a request would go.
-func (c *Client) ExplainRoute(host, path string) ([]string, error) {
-	var query fasthttp.Args
-	query.Set("host", host)
-	query.Set("path", path)
+func (c *Client) ExplainRoute(q blexplain.Query) ([]string, error) {
 	var steps []string
-	err := c.getJSON("/explain?"+query.String(), &steps)
+	err := c.getJSON("/explain?"+queryOf(q), &steps)
 	return steps, err
 }
+
+// ExplainParts returns where a request would go and why, in parts.
+func (c *Client) ExplainParts(q blexplain.Query) (blexplain.Explanation, error) {
+	var e blexplain.Explanation
+	err := c.getJSON("/explain/parts?"+queryOf(q), &e)
+	return e, err
+}
+
+func queryOf(q blexplain.Query) string {
+	var query fasthttp.Args
+	query.Set("host", q.Host())
+	query.Set("path", q.Path())
+	query.SetUint("bytes", q.Bytes())
+	query.SetUint("deadline", int(q.Deadline().Milliseconds()))
+	return query.String()
+}
--- a/basillift/blbalance/balancer.go
+++ b/basillift/blbalance/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand"
-	"slices"
 	"sync"
 	"time"
 
@@ -144,21 +143,20 @@
 		if _, leaving := b.advisories.Leaving(e); leaving {
 			continue
 		}
-		isPaused := b.paused(now, e)
-		anyUsable = anyUsable || !isPaused
-		switch {
-		case slices.Contains(exclude, e.Instance()):
-		case isPaused:
+		p, usable := b.place(now, e, exclude, b.state(now, e.Instance()))
+		anyUsable = anyUsable || usable
+		switch p {
+		case placementPaused:
 			paused = append(paused, t)
-		case e.Domain() == b.domain:
+		case placementLocal:
 			local = append(local, t)
-		default:
+		case placementRemote:
 			remote = append(remote, t)
 		}
 	}
-	candidates := append(b.sample(local, localCandidates), b.sample(remote, max(minRemoteCandidates, localCandidates-len(local)))...)
-	if len(candidates) == 0 && !anyUsable {
-		// If all targets are paused, wrong observations are more likely than the failure of all targets.
+	localCount, remoteCount := comparedCounts(len(local), len(remote))
+	candidates := append(b.sample(local, localCount), b.sample(remote, remoteCount)...)
+	if comparesPaused(len(candidates), anyUsable) {
 		candidates = b.sample(paused, localCandidates)
 	}
 	best, found := b.cheapest(now, candidates, request)
@@ -194,7 +192,7 @@
 	var best *blfleet.Target
 	var leastCost float64
 	for _, t := range candidates {
-		cost := b.cost(now, t, request)
+		cost := b.cost(now, t, b.state(now, t.Endpoint().Instance()), request).Total()
 		if best == nil || cost < leastCost {
 			best, leastCost = t, cost
 		}
@@ -264,12 +262,9 @@
 	}
 }
 
-// paused reports whether a target or its failure domain is paused.
-func (b *Balancer) paused(now time.Time, e basillift.Endpoint) bool {
-	if domain := b.domains[e.Domain()]; domain != nil && now.Before(domain.pauseUntil) {
-		return true
-	}
-	return now.Before(b.state(now, e.Instance()).pauseUntil)
+// paused reports whether a target with a state, or its failure domain, is paused.
+func (b *Balancer) paused(now time.Time, e basillift.Endpoint, state *targetState) bool {
+	return b.domainPaused(now, e.Domain()) || now.Before(state.pauseUntil)
 }
 
 func (b *Balancer) state(now time.Time, instance string) *targetState {
--- a/basillift/blbalance/balancer_test.go
+++ b/basillift/blbalance/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +44,12 @@
 	b.Ended(begin, t, newRequest(0), ResultRefused, time.Millisecond, &load)
 }
 
+// explainOne describes one target.
+func (b *Balancer) explainOne(now time.Time, t *blfleet.Target, request Request) string {
+	e := b.Explain(now, []*blfleet.Target{t}, nil, request)
+	return slices.Concat(e.candidates, e.leftOut)[0].String()
+}
+
 // countChoices returns how many of 1000 choices select each target.
 func (b *Balancer) countChoices(now time.Time, targets []*blfleet.Target, request Request) map[string]int {
 	counts := map[string]int{}
@@ -158,7 +165,7 @@
 	limited := targets[0].Endpoint()
 	b.advisories.ObserveReport(begin, limited, basillift.NewAdvisory().WithRequestLimit(1))
 	assertAllOn(t, b.countChoices(begin, targets, newRequest(0)), "i01")
-	is.New(t).True(strings.Contains(b.Explain(begin, targets[0], newRequest(0)), "accepts 1 requests per second"))
+	is.New(t).True(strings.Contains(b.explainOne(begin, targets[0], newRequest(0)), "accepts 1 requests per second"))
 }
 
 func TestLeavingTargetsAreNotChosen(t *testing.T) {
--- a/basillift/blbalance/coldlimit_test.go
+++ b/basillift/blbalance/coldlimit_test.go
@@ -68,7 +68,7 @@
 			now := begin.Add(c.after)
 			request := NewRequest("route", 0, now.Add(300*time.Millisecond))
 			is := is.New(t)
-			is.Equal(strings.Contains(b.Explain(now, targets[0], request), "cold, gets 2 requests per second"), c.cold)
+			is.Equal(strings.Contains(b.explainOne(now, targets[0], request), "cold, gets 2 requests per second"), c.cold)
 			if c.cold && c.evacuationEnd.IsZero() {
 				assertAllOn(t, b.countChoices(now, targets, request), "i01")
 			}
@@ -86,5 +86,5 @@
 	f := blfleet.New()
 	e := targets[0].Endpoint().WithStart(begin.Add(time.Second), 3*time.Second)
 	f.Apply(begin, basillift.NewRegistryEntry("k", 1).WithEndpoint(e))
-	is.New(t).True(strings.Contains(b.Explain(begin, f.Targets("s")[0], newRequest(0)), "cold"))
+	is.New(t).True(strings.Contains(b.explainOne(begin, f.Targets("s")[0], newRequest(0)), "cold"))
 }
--- a/basillift/blbalance/cost.go
+++ b/basillift/blbalance/cost.go
@@ -7,11 +7,21 @@
 	"basillift.dev/basillift/blfleet"
 )
 
-// cost is the expected loss of sending a request to a target, as a share of the request's value: from a late answer,
-// from a failure, and from the price of bytes to another failure domain. Utilization and response time add utilizationCost.
-func (b *Balancer) cost(now time.Time, t *blfleet.Target, request Request) float64 {
+// Cost is the expected loss of sending a request to a target, as a share of the request's value, in parts.
+type Cost struct {
+	failure, utilization, transfer, late, response float64
+	lateProbability, responseSeconds               float64
+}
+
+// Total is the sum of the parts. It is added up in one order, so that equal parts have equal totals.
+func (c Cost) Total() float64 {
+	return c.failure + c.utilization + c.transfer + c.late + c.response
+}
+
+// cost returns the cost of a request at a target with a state: from a late answer, from a failure, and from the price of bytes
+// to another failure domain. Utilization and response time add utilizationCost.
+func (b *Balancer) cost(now time.Time, t *blfleet.Target, state *targetState, request Request) Cost {
 	e := t.Endpoint()
-	state := b.state(now, e.Instance())
 	pending := state.inFlight
 	if now.Sub(state.reportedAt) < loadReportLifetime {
 		pending = max(pending, state.load.Running()+state.load.Queued()+state.inFlight-state.inFlightAtReport)
@@ -23,12 +33,15 @@
 	if backlog, slow := state.load.SlowLink(); slow && request.bytes >= LargeBodyBytes {
 		responseSeconds += max(0, backlog-now.Sub(state.reportedAt)).Seconds()
 	}
-	cost := state.failureRate + float64(utilizationCost*float64(pending)/slots)
+	c := Cost{failure: state.failureRate, utilization: float64(utilizationCost * float64(pending) / slots)}
 	if e.Domain() != b.domain {
 		responseSeconds += remoteRoundTrip.Seconds()
-		cost += remoteByteCost * float64(request.bytes)
+		c.transfer = remoteByteCost * float64(request.bytes)
 	}
-	return cost + lateAnswerLoss*lateProbability(responseSeconds, request.softDeadline.Sub(now).Seconds()) + utilizationCost*responseSeconds
+	c.responseSeconds = responseSeconds
+	c.lateProbability = lateProbability(responseSeconds, request.softDeadline.Sub(now).Seconds())
+	c.late, c.response = float64(lateAnswerLoss*c.lateProbability), float64(utilizationCost*responseSeconds)
+	return c
 }
 
 // usableSlots is how many requests a target runs at once: those for which it has slots, or fewer if it accepts too few per
--- a/basillift/blforwarder/acceptedrequests.go
+++ b/basillift/blforwarder/acceptedrequests.go
@@ -107,6 +107,13 @@
 	return a
 }
 
+// restrict returns the limits of a request together with those of all requests.
+func (as *acceptedRequests) restrict(limits waitLimits) waitLimits {
+	as.mutex.Lock()
+	defer as.mutex.Unlock()
+	return limits.lower(as.limits)
+}
+
 func (as *acceptedRequests) remove(a *acceptedRequest) {
 	as.mutex.Lock()
 	defer as.mutex.Unlock()
--- a/basillift/blforwarder/admission.go
+++ b/basillift/blforwarder/admission.go
@@ -64,7 +64,7 @@
 func (ad *admission) classify(now time.Time, meta requestMetadata) requestMetadata {
 	ad.mutex.Lock()
 	defer ad.mutex.Unlock()
-	if !ad.downUntil.IsZero() && !now.Before(ad.downUntil) {
+	if ad.downEnded(now) {
 		ad.downUntil = time.Time{}
 		ad.queue.Close(basillift.ReasonNone)
 	}
@@ -72,6 +72,13 @@
 	meta.nestedCall = ad.nestedCalls.IsNested(meta.route)
 	if !meta.nestedCall {
 		ad.servedRatios.Observe(now, meta.route, meta.rank, meta.servedRatio)
+	}
+	return ad.rankNestedCall(now, meta)
+}
+
+// rankNestedCall returns the metadata of a request with rank and bestRank set. It must be called with the mutex held.
+func (ad *admission) rankNestedCall(now time.Time, meta requestMetadata) requestMetadata {
+	if !meta.nestedCall {
 		return meta
 	}
 	if meta.parent.rank == noParentRank {
@@ -105,6 +112,11 @@
 	ad.mutex.Lock()
 	defer ad.mutex.Unlock()
 	estimate, known := ad.parents.AttributeCall(route)
+	return ad.parentRequest(estimate, known, servedRatio)
+}
+
+// parentRequest returns an estimated parent as metadata of its call. It must be called with the mutex held.
+func (ad *admission) parentRequest(estimate bladmit.Parent, known bool, servedRatio float64) parentRequest {
 	if !known {
 		return parentRequest{rank: noParentRank}
 	}
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -65,18 +65,11 @@
 
 func (c *callerSide) handle(ctx context.Context, r *request) *answer {
 	f := c.forwarder
-	if f.refusesRequests.Load() {
-		return c.recordUnrouted(r, notRunAnswer(basillift.ReasonDraining, defaultRetryAfter))
-	}
-	table := c.awaitTable(ctx)
-	if table == nil {
-		return c.recordUnrouted(r, notRunAnswer(basillift.ReasonNoVersion, defaultRetryAfter))
-	}
-	route, found := table.Match(r.host, r.uri)
-	if !found {
-		return c.recordUnrouted(r, rejectedAnswer(http.StatusNotFound, basillift.ReasonService))
+	table, route, refusal := c.findRoute(r, func() *bltable.Table { return c.awaitTable(ctx) })
+	if refusal != nil {
+		return c.recordUnrouted(r, refusal)
 	}
-	rr := c.prepare(r, route)
+	rr := c.prepare(r, route, recordingLookups{f})
 	ctx, cancel := context.WithDeadline(ctx, rr.metadata.deadline)
 	defer cancel()
 	f.allowance.RecordRequest(r.arrived, rr.service, f.fleet.VMCount(), rr.metadata.retryProbability)
@@ -113,7 +106,7 @@
 }
 
 // prepare chooses the service and sets the deadlines and the metadata that all attempts share.
-func (c *callerSide) prepare(r *request, route *basillift.Route) *routedRequest {
+func (c *callerSide) prepare(r *request, route *basillift.Route, l lookups) *routedRequest {
 	timeout := route.Timeout()
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -121,7 +114,7 @@
 	elapsed := time.Duration(0)
 	if callerTimeout, ok := r.headerMillis(c.forwarder.settings.headerNames.Deadline()); ok {
 		timeout = min(timeout, max(0, callerTimeout-callerMargin))
-		elapsed = c.forwarder.elapsedWaits.Observe(route.Name(), callerTimeout)
+		elapsed = l.elapsedWait(route.Name(), callerTimeout)
 	}
 	latencyObjective := route.LatencyObjective()
 	if latencyObjective == 0 {
@@ -130,10 +123,10 @@
 	stats := c.forwarder.routeStats.get(route.Name())
 	parent := parentRequest{rank: noParentRank}
 	if stats.nestedCall {
-		parent = c.forwarder.admission.attributeCall(route.Name(), stats.servedRatio)
+		parent = l.parent(route.Name(), stats.servedRatio)
 	}
 	return &routedRequest{
-		request: r, route: route, service: c.forwarder.splitter.Pick(route), fingerprint: fingerprintOf(r),
+		request: r, route: route, service: l.service(route), fingerprint: fingerprintOf(r),
 		metadata: requestMetadata{
 			route: route.Name(), rank: route.Priority(), retryable: route.Kind().Retryable(), latencyObjective: latencyObjective,
 			servedRatio: stats.servedRatio, parent: parent, retryProbability: parent.retryProbability,
@@ -251,9 +244,7 @@
 	if result == blretry.AttemptAnswered {
 		f.answerSizes.observe(rr.route.Name(), len(a.body))
 	}
-	if result == blretry.AttemptRefused && a.retryAfter > 0 && (rr.earliestRetryAfter == 0 || a.retryAfter < rr.earliestRetryAfter) {
-		rr.earliestRetryAfter = a.retryAfter
-	}
+	rr.observeRetryAfter(result, a.retryAfter)
 	return a, result
 }
 
--- a/basillift/blforwarder/coldtarget_test.go
+++ b/basillift/blforwarder/coldtarget_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blexplain"
 	"basillift.dev/basillift/blwarmup"
 )
 
@@ -154,7 +155,7 @@
 	is.True(refused > 0)
 	c.assertArrivals(t, 1)
 	for i, want := range []string{"target of this VM: gets 11 requests per second", "usable, cold, gets 11 requests per second"} {
-		lines := m.forwarders[i].ExplainTargets(time.Now(), "shop.example", "/get/x")
+		lines := m.forwarders[i].Explain(time.Now(), blexplain.NewQuery("shop.example", "/get/x")).Lines
 		is.True(strings.Contains(strings.Join(lines, "\n"), want))
 	}
 }
--- a/basillift/blforwarder/evacuation_test.go
+++ b/basillift/blforwarder/evacuation_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blexplain"
 	"basillift.dev/basillift/blfleet"
 )
 
@@ -84,7 +85,7 @@
 	c.send(post("evacuated", "x"))
 	a := c.assertAnswer(http.StatusServiceUnavailable, "")
 	is.Equal(a.header.Get("Retry-After"), "1.000")
-	lines := strings.Join(m.forwarders[0].ExplainTargets(time.Now(), "shop.example", "/get/x"), "\n")
+	lines := strings.Join(m.forwarders[0].Explain(time.Now(), blexplain.NewQuery("shop.example", "/get/x")).Lines, "\n")
 	is.True(strings.Contains(lines, "target i0: evacuated since 2") && strings.Contains(lines, "target i1: evacuated since 2"))
 	is.True(strings.Contains(lines, "none; the answer is 503"))
 	var text strings.Builder
--- a/basillift/blforwarder/request.go
+++ b/basillift/blforwarder/request.go
@@ -103,7 +103,7 @@
 	if r.size == 0 {
 		return nil
 	}
-	if r.size > limit {
+	if r.exceeds(limit) {
 		return fmt.Errorf("read request body: %w", errTooLarge)
 	}
 	source := bodyReader(reader, r.size)
@@ -118,6 +118,9 @@
 	return nil
 }
 
+// exceeds reports whether the announced size of the body is above the limit.
+func (r *request) exceeds(limit int) bool { return r.size > limit }
+
 // maxBytesReader returns errTooLarge once the body exceeds the limit.
 type maxBytesReader struct {
 	source io.Reader
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -128,8 +128,7 @@
 // accept records a request until it is answered.
 func (t *targetSide) accept(r *request, meta requestMetadata) *acceptedRequest {
 	f := t.forwarder
-	limits := f.instanceLimits(meta.instance).lower(waitLimits{answerBy: meta.answerBy})
-	return f.accepted.add(r.header(f.settings.headerNames.RequestID()), meta.instance, limits)
+	return f.accepted.add(r.header(f.settings.headerNames.RequestID()), meta.instance, t.waitLimits(meta))
 }
 
 func (t *targetSide) admit(ctx context.Context, r *request, run *targetRun, meta requestMetadata) *answer {
@@ -148,13 +147,7 @@
 	meta = f.admission.classify(now, meta)
 	id, refusal := f.admission.acquire(ctx, now, run.accepted, meta)
 	if refusal != nil {
-		refusal.nestedCall = meta.nestedCall
-		refusal = f.explainRefusal(refusal)
-		if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
-			// This daemon or its target serves no requests soon, whatever the queue expects.
-			refusal.reason, refusal.retryAfter = basillift.ReasonDraining, 0
-		}
-		return refusal
+		return t.explainQueueRefusal(refusal, meta)
 	}
 	started := time.Now()
 	if refusal = t.checkTarget(started, meta); refusal != nil {
--- a/basilliftctl/commands/explain.go
+++ b/basilliftctl/commands/explain.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/blexplain"
 )
 
 // explain is the command that shows the steps by which a call would be routed or refused.
@@ -14,6 +16,8 @@
 	Method   string `long:"method" default:"GET" description:"HTTP method"`
 	Host     string `long:"host" description:"host of a request that is routed by table"`
 	Path     string `long:"path" description:"path of a request that is routed by table"`
+	Bytes    uint32 `long:"bytes" value-name:"N" description:"size of the request's body, of a request that is routed by table"`
+	Deadline uint32 `long:"deadline" value-name:"MS" description:"how long the caller waits, of a request that is routed by table"`
 	Table    string `long:"table" value-name:"FILE" description:"use this routing table instead of asking a daemon"`
 	JSON     bool   `long:"json" description:"print the steps as JSON"`
 }
@@ -31,12 +35,16 @@
 Examples:
   basilliftctl explain --admin 10.0.1.17:7103 --customer kobuleti --service catalogue --method POST
   basilliftctl explain --admin 10.0.1.17:7103 --host shop.example --path /browse/7
+  basilliftctl explain --admin 10.0.1.17:7103 --host shop.example --path /browse/7 --bytes 60000 --deadline 400
   basilliftctl explain --table table.json --host shop.example --path /browse/7
 ` + exitCodesHelp
 }
 
 // Run implements Command.
 func (c *explain) Run(_ context.Context, s Streams) error {
+	if c.JSON && c.asksTableDaemon() {
+		return c.printParts(s)
+	}
 	steps, err := c.steps()
 	if err != nil {
 		return err
@@ -51,12 +59,11 @@
 }
 
 func (c *explain) steps() ([]string, error) {
-	byTable := c.Host != "" || c.Path != "" || c.Table != ""
 	switch {
 	case c.Admin == "" && c.Table == "":
 		return nil, usageError("give --admin, or --table with --host and --path")
-	case byTable:
-		return explainRoute(c.Table, c.Admin, c.Host, c.Path)
+	case c.byTable():
+		return explainRoute(c.Table, c.Admin, c.query())
 	case c.Customer == "" || c.Service == "":
 		return nil, usageError("give --customer and --service, or --host and --path")
 	}
@@ -66,3 +73,23 @@
 	}
 	return steps, nil
 }
+
+func (c *explain) byTable() bool { return c.Host != "" || c.Path != "" || c.Table != "" }
+
+// asksTableDaemon reports whether a daemon explains a complete request that is routed by table.
+func (c *explain) asksTableDaemon() bool {
+	return c.Admin != "" && c.Table == "" && c.Host != "" && c.Path != ""
+}
+
+func (c *explain) query() blexplain.Query {
+	return blexplain.NewQuery(c.Host, c.Path).WithBytes(int(c.Bytes)).WithDeadline(time.Duration(c.Deadline) * time.Millisecond)
+}
+
+// printParts prints the explanation of a daemon in its structured form.
+func (c *explain) printParts(s Streams) error {
+	e, err := bladmin.NewClient(c.Admin).ExplainParts(c.query())
+	if err != nil {
+		return unreadableError(err)
+	}
+	return s.printJSON(e)
+}
--- a/basilliftctl/commands/table.go
+++ b/basilliftctl/commands/table.go
@@ -7,6 +7,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/blexplain"
 	"basillift.dev/basillift/bltable"
 )
 
@@ -115,12 +116,12 @@
 
 // explainRoute returns the routing steps for a request, by the table in a file or, without
 // one, by the daemon's table.
-func explainRoute(tablePath, admin, host, requestPath string) ([]string, error) {
-	if host == "" || requestPath == "" {
+func explainRoute(tablePath, admin string, q blexplain.Query) ([]string, error) {
+	if q.Host() == "" || q.Path() == "" {
 		return nil, usageError("give --host and --path")
 	}
 	if tablePath == "" {
-		steps, err := bladmin.NewClient(admin).ExplainRoute(host, requestPath)
+		steps, err := bladmin.NewClient(admin).ExplainRoute(q)
 		if err != nil {
 			return nil, unreadableError(err)
 		}
@@ -134,5 +135,5 @@
 	if err != nil {
 		return nil, unreadableError(err)
 	}
-	return t.Explain(host, requestPath), nil
+	return t.Explain(q.Host(), q.Path()), nil
 }
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -20,6 +20,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmin"
+	"basillift.dev/basillift/blexplain"
 	"basillift.dev/basillift/blfeed"
 	"basillift.dev/basillift/blfleet"
 	"basillift.dev/basillift/blforwarder"
@@ -256,12 +257,8 @@
 }
 
 // ExplainRoute implements bladmin.TableSource.
-func (d *tableDaemon) ExplainRoute(now time.Time, host, path string) []string {
-	t := d.tables.Current()
-	if t == nil {
-		return []string{"table: none is in force yet; the answer is 503"}
-	}
-	return append(t.Explain(host, path), d.forwarder.ExplainTargets(now, host, path)...)
+func (d *tableDaemon) ExplainRoute(now time.Time, q blexplain.Query) blexplain.Explanation {
+	return d.forwarder.Explain(now, q)
 }
 
 // logReaderChange logs which reader is followed, and why none is.
