--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -71,18 +71,11 @@
 
 func (c *callerSide) handle(ctx context.Context, r *request) *answer {
 	f := c.forwarder
-	if f.refusesRequests.Load() {
-		return c.recordUnrouted(r, notRunAnswer(basillift.ReasonDraining, defaultRetryAfter))
+	table, route, refusal := c.findRoute(r, func() *bltable.Table { return c.awaitTable(ctx) })
+	if refusal != nil {
+		return c.recordUnrouted(r, refusal)
 	}
-	table := c.awaitTable(ctx)
-	if table == nil {
-		return c.recordUnrouted(r, notRunAnswer(basillift.ReasonNoVersion, defaultRetryAfter))
-	}
-	route, found := table.Match(r.host, r.uri)
-	if !found {
-		return c.recordUnrouted(r, rejectedAnswer(http.StatusNotFound, basillift.ReasonService))
-	}
-	rr := c.prepare(r, route)
+	rr := c.prepare(r, route, recordingLookups{f})
 	ctx, cancel := context.WithDeadline(ctx, rr.metadata.deadline)
 	defer cancel()
 	f.allowance.RecordRequest(r.arrived, rr.service, f.fleet.VMCount(), rr.metadata.retryProbability)
@@ -119,7 +112,7 @@
 }
 
 // prepare chooses the service and sets the deadlines and the metadata that all attempts share.
-func (c *callerSide) prepare(r *request, route *basillift.Route) *routedRequest {
+func (c *callerSide) prepare(r *request, route *basillift.Route, l lookups) *routedRequest {
 	timeout := route.Timeout()
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -128,7 +121,7 @@
 	var callerDeadline time.Time
 	if callerTimeout, ok := r.headerMillis(c.forwarder.settings.headerNames.Deadline()); ok {
 		timeout = min(timeout, max(0, callerTimeout-callerMargin))
-		elapsed = c.forwarder.elapsedWaits.Observe(route.Name(), callerTimeout)
+		elapsed = l.elapsedWait(route.Name(), callerTimeout)
 		callerDeadline = r.arrived.Add(callerTimeout)
 	}
 	latencyObjective := route.LatencyObjective()
@@ -138,10 +131,10 @@
 	stats := c.forwarder.routeStats.get(route.Name())
 	parent := parentRequest{rank: noParentRank}
 	if stats.nestedCall {
-		parent = c.forwarder.admission.attributeCall(route.Name(), stats.servedRatio)
+		parent = l.parent(route.Name(), stats.servedRatio)
 	}
 	return &routedRequest{
-		request: r, route: route, service: c.forwarder.splitter.Pick(route), fingerprint: fingerprintOf(r), callerDeadline: callerDeadline,
+		request: r, route: route, service: l.service(route), fingerprint: fingerprintOf(r), callerDeadline: callerDeadline,
 		metadata: requestMetadata{
 			route: route.Name(), rank: route.Priority(), retryable: route.Kind().Retryable(), latencyObjective: latencyObjective,
 			servedRatio: stats.servedRatio, parent: parent, retryProbability: parent.retryProbability,
@@ -259,10 +252,7 @@
 		f.answerSizes.observe(rr.route.Name(), len(a.body))
 	}
 	rr.admission = a.admission
-	if result == blretry.AttemptRefused && a.retryAfter > 0 && (rr.earliestRetryAfter == 0 || a.retryAfter < rr.earliestRetryAfter) {
-		rr.earliestRetryAfter = a.retryAfter
-		rr.late.observe(instance, a)
-	}
+	rr.observeRefusal(instance, result, a)
 	return a, result
 }
 
