--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -38,6 +38,8 @@
 	state  *blwarmup.State
 	// limit is the limit in force; nil for none.
 	limit atomic.Pointer[blwarmup.Limit]
+	// evacuationEnd is the last end of an evacuation that the state has observed; nil for none.
+	evacuationEnd atomic.Pointer[time.Time]
 	// wake makes loop ask the state once more.
 	wake chan struct{}
 }
@@ -83,13 +85,14 @@
 	return due, next
 }
 
-// service returns the settings of the target's service; empty without a routing table.
+// service returns the settings of the target's service; empty without a routing table. The service is the one by which others
+// place requests, that of the target's entry, or that of the daemon's settings if there is no entry.
 func (c *coldTarget) service() basillift.ServiceLimits {
 	table := c.forwarder.tables.Current()
 	if table == nil {
 		return basillift.ServiceLimits{}
 	}
-	s, _ := table.Service(c.forwarder.settings.service)
+	s, _ := table.Service(c.forwarder.ownTarget("").Service())
 	return s
 }
 
@@ -108,14 +111,29 @@
 		if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
 			s.ObserveEntry(now, e)
 		}
-		_, evacuated := f.evacuations.Evacuated(f.settings.domain)
+		domain := f.ownTarget("").Domain()
+		_, evacuated := f.evacuations.Evacuated(domain)
 		s.ObserveEvacuation(evacuated)
-		if ended, known := f.evacuations.EvacuationEnded(f.settings.domain); known {
+		if ended, known := f.evacuations.EvacuationEnded(domain); known {
 			s.ObserveEvacuationEnd(now, ended)
+			c.evacuationEnd.Store(&ended)
 		}
 	})
 }
 
+// requestArrived makes the limit begin that follows from the end of an evacuation, if a request arrives before targetsChanged is
+// called: the fleet knows the end somewhat earlier.
+func (c *coldTarget) requestArrived(now time.Time) {
+	if !c.active.Load() {
+		return
+	}
+	f := c.forwarder
+	ended, known := f.evacuations.EvacuationEnded(f.ownTarget("").Domain())
+	if observed := c.evacuationEnd.Load(); known && (observed == nil || !observed.Equal(ended)) {
+		c.targetsChanged(now)
+	}
+}
+
 // observeRefused records that the target refused a connection.
 func (c *coldTarget) observeRefused(now time.Time) {
 	if c.active.Load() {
--- a/basillift/blforwarder/coldtarget_test.go
+++ b/basillift/blforwarder/coldtarget_test.go
@@ -175,6 +175,25 @@
 	m.forwarders[0].TargetsChanged(e.ended)
 }
 
+// Guards against a target at full rate after an evacuation, since its entry names another failure domain than the settings, or since a
+// request arrives before the daemon has been told of the end.
+func TestColdTargetAfterEvacuationByItsEntry(t *testing.T) {
+	is := is.New(t)
+	c, m := startColdMesh(t, 1, noEvacuations{})
+	f := m.forwarders[0]
+	f.evacuations = m.fleet
+	e := basillift.NewEndpoint("i0", "catalogue", c.address, "b", 4, basillift.TargetReady).WithDaemon(m.daemonAddresses[0])
+	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry("t0", 20).WithEndpoint(e))
+	is.True(!m.awaitCause(t, blwarmup.CauseNone))
+	m.evacuate(evacuationOf("b", 21))
+	c.become(time.Minute, false)
+	m.fleet.Apply(time.Now(), removalOf("evacuate b", 22))
+	caller := m.dial(t, 0)
+	caller.send(get("ended", "/get/x"))
+	caller.assertAnswer(http.StatusOK, "")
+	is.True(m.awaitCause(t, blwarmup.CauseNone))
+}
+
 // Guards against a warm target that stays limited after the start of its daemon or a single broken request, or gets several health
 // checks.
 func TestWarmTargetIsNotLimited(t *testing.T) {
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -192,7 +192,11 @@
 	if f.refusesRequests.Load() {
 		return notRunAnswer(basillift.ReasonDraining, 0)
 	}
-	return t.checkTarget(now, meta)
+	refusal = t.checkTarget(now, meta)
+	if refusal == nil {
+		f.cold.requestArrived(now)
+	}
+	return refusal
 }
 
 // checkTarget returns a refusal if the target must not get a request, and nil otherwise. It is called when a request arrives
