--- a/basillift/bladmit/coldlimit_test.go
+++ b/basillift/bladmit/coldlimit_test.go
@@ -47,4 +47,16 @@
 		}
 		assertStarted(t, q.SetColdLimit(baseTime.Add(101*time.Millisecond), 10, true), 1)
 	})
+	t.Run("waiting requests are not refused for a limit that ends within milliseconds", func(t *testing.T) {
+		is := is.New(t)
+		q := warmedQueue(1, "a", 60*time.Millisecond)
+		for id := uint64(1); id < 5; id++ {
+			q.Arrive(baseTime, slotRequest(baseTime, id, "a", 0, 300*time.Millisecond))
+		}
+		q.SetColdLimit(baseTime, 1, true)
+		is.Equal(q.RemoveUnservable(baseTime.Add(coldGrace-1)), nil)
+		next, known := q.NextStart(baseTime.Add(time.Millisecond))
+		is.True(known && next == coldGrace-time.Millisecond)
+		is.Equal(q.RemoveUnservable(baseTime.Add(coldGrace)), []uint64{2, 3, 4})
+	})
 }
--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -106,21 +106,25 @@
 }
 
 // NextStart returns how long the first waiting request has to wait for the request limit; false if it waits for a slot, or
-// none waits. Dispatch has to be called then.
+// none waits. Dispatch and RemoveUnservable have to be called then. While a cold limit has just begun, it is when
+// RemoveUnservable has an effect.
 func (q *DeadlineQueue) NextStart(now time.Time) (time.Duration, bool) {
-	if len(q.waiting) == 0 || len(q.running) >= q.slots {
+	if len(q.waiting) == 0 {
 		return 0, false
 	}
-	return q.limit.wait(now, 0), true
+	if grace := q.limit.graceLeft(now); grace > 0 {
+		return grace, true
+	}
+	return q.limit.wait(now, 0), len(q.running) < q.slots
 }
 
 // Dispatch returns the ids of the waiting requests that start.
 func (q *DeadlineQueue) Dispatch(now time.Time) []uint64 { return q.dispatch(now) }
 
 // RemoveUnservable removes the waiting requests that the request limit keeps from starting in time, since it was lowered or
-// requests of better ranks arrived. It returns their ids.
+// requests of better ranks arrived. It returns their ids. A cold limit that has just begun removes none, since it may end at once.
 func (q *DeadlineQueue) RemoveUnservable(now time.Time) []uint64 {
-	if !q.limit.active() {
+	if !q.limit.active() || q.limit.graceLeft(now) > 0 {
 		return nil
 	}
 	var removed []uint64
--- a/basillift/bladmit/requestlimit.go
+++ b/basillift/bladmit/requestlimit.go
@@ -14,6 +14,9 @@
 	// 300 ms after it was counted, when its slot was reserved for a large body; so the sum of both has to stay well below the
 	// half of a second.
 	coldBurstTime = 50 * time.Millisecond
+	// coldGrace is for how long after the beginning of a cold limit no waiting request is refused because of it. After a broken
+	// connection or a start of the daemon a warm target is usually recognized within 2 to 5 ms, and would lose all waiting requests.
+	coldGrace = 10 * time.Millisecond
 	// minRequestLimit keeps a request going to a target from time to time, since only an answer can end a limit.
 	minRequestLimit = 0.1
 	// maxReturnSpread bounds by how much the return of a refused request is delayed behind those refused before it.
@@ -26,6 +29,8 @@
 	limiter *rate.Limiter
 	// own and cold are the limits by reason, in requests per second.
 	own, cold reasonLimit
+	// coldSince is when the cold limit began.
+	coldSince time.Time
 	// nextReturn is when the next refused request should come back.
 	nextReturn time.Time
 }
@@ -52,7 +57,7 @@
 	begins := limited && !l.cold.limited
 	l.cold = reasonLimit{perSecond, limited}
 	if begins {
-		l.limiter = nil
+		l.limiter, l.coldSince = nil, now
 	}
 	l.apply(now)
 	if begins {
@@ -92,6 +97,14 @@
 
 func (l *requestLimit) active() bool { return l.limiter != nil }
 
+// graceLeft is how long no waiting request is refused because of a cold limit that has just begun.
+func (l *requestLimit) graceLeft(now time.Time) time.Duration {
+	if !l.cold.limited {
+		return 0
+	}
+	return max(0, l.coldSince.Add(coldGrace).Sub(now))
+}
+
 // take reports whether a request may start now, and counts it.
 func (l *requestLimit) take(now time.Time) bool { return l.limiter == nil || l.limiter.AllowN(now, 1) }
 
