--- a/basillift/blwarmup/observe.go
+++ b/basillift/blwarmup/observe.go
@@ -85,14 +85,18 @@
 
 // ObserveAnswer records an answer of the target to a request that began at the given time, on a connection that was opened at
 // another. If only broken connections made the state unknown, a connection from before that still works shows that the target
-// has not started again.
+// has not started again. The answer to an earlier request does not show it, but its connection may be idle now.
 func (s *State) ObserveAnswer(now, opened, began time.Time) {
-	if s.cause == CauseNone || began.Before(s.unknownSince) {
+	fromBefore := s.cause == CauseBroken && opened.Before(s.brokenSince)
+	switch {
+	case fromBefore && began.Before(s.unknownSince):
+		s.survivorsAsked = false
 		return
-	}
-	if s.cause == CauseBroken && opened.Before(s.brokenSince) {
+	case fromBefore:
 		s.endBroken()
 		return
+	case s.cause == CauseNone || began.Before(s.unknownSince):
+		return
 	}
 	if s.reachableSince.IsZero() {
 		s.reachableSince = now
--- a/basillift/blwarmup/state.go
+++ b/basillift/blwarmup/state.go
@@ -42,7 +42,7 @@
 	unknownSince time.Time
 	// brokenSince is the earliest time at which one of the broken connections had been used before, if cause is CauseBroken.
 	brokenSince time.Time
-	// survivorsAsked is set once it was found that no other connection has outlived the broken one.
+	// survivorsAsked is set once it was found that no idle connection has outlived the broken one. One that was in use may still do so.
 	survivorsAsked bool
 	// reachableSince is when the target was first reachable since the state became unknown; zero if it was not.
 	reachableSince time.Time
--- a/basillift/blwarmup/state_test.go
+++ b/basillift/blwarmup/state_test.go
@@ -39,10 +39,15 @@
 // observation is what happens at a time. The functions below return the kinds of them.
 type observation func(s *State, now time.Time)
 
-func nothing(*State, time.Time)               {}
-func refused(s *State, now time.Time)         { s.ObserveRefused(now) }
-func survived(s *State, _ time.Time)          { s.ObserveSurvivors(true) }
-func died(s *State, _ time.Time)              { s.ObserveSurvivors(false) }
+func nothing(*State, time.Time)       {}
+func refused(s *State, now time.Time) { s.ObserveRefused(now) }
+func survived(s *State, _ time.Time)  { s.ObserveSurvivors(true) }
+func died(s *State, _ time.Time)      { s.ObserveSurvivors(false) }
+func asked(s *State, now time.Time) {
+	if _, due := s.SurvivorsDue(now); due {
+		s.ObserveSurvivors(true)
+	}
+}
 func evacuationEnded(s *State, now time.Time) { s.ObserveEvacuationEnd(now, now) }
 func evacuated(s *State, _ time.Time)         { s.ObserveEvacuation(true) }
 func broken(began int) observation {
@@ -109,9 +114,17 @@
 		"an older connection answers":       {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1100, answered(100, 990), CauseBroken, 4100}, {1200, answered(100, 1010), warm, 0}},
 		"an older connection is still open": {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1002, survived, warm, 0}},
 		"no older connection is open":       {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1002, died, CauseBroken, 4002}},
-		"a connection between two breaks":   {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1500, broken(1400), CauseBroken, 4500}, {1600, answered(1100, 1550), CauseBroken, 4600}},
-		"broken, then refused":              {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1001, refused, CauseRefused, 4001}, {1200, answered(100, 1010), CauseRefused, 4200}},
-		"the end of an evacuation":          {{0, healthy("i", 0), warm, 0}, {1000, evacuationEnded, CauseEvacuation, 4000}, {1001, healthy("i", 3000), CauseNone, 4001}},
+		"an older connection is idle later": {
+			{0, healthy("i", 0), warm, 0},
+			{1000, broken(900), CauseBroken, 4000},
+			{1002, died, CauseBroken, 4002},
+			{1010, asked, CauseBroken, 4010},
+			{1020, answered(100, 950), CauseBroken, 4020},
+			{1020, asked, warm, 0},
+		},
+		"a connection between two breaks": {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1500, broken(1400), CauseBroken, 4500}, {1600, answered(1100, 1550), CauseBroken, 4600}},
+		"broken, then refused":            {{0, healthy("i", 0), warm, 0}, {1000, broken(900), CauseBroken, 4000}, {1001, refused, CauseRefused, 4001}, {1200, answered(100, 1010), CauseRefused, 4200}},
+		"the end of an evacuation":        {{0, healthy("i", 0), warm, 0}, {1000, evacuationEnded, CauseEvacuation, 4000}, {1001, healthy("i", 3000), CauseNone, 4001}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := started()
