--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -99,15 +99,14 @@
 // targetsChanged observes the settings of the service, the entry of the target and evacuations. It must be called after each
 // change of these.
 func (c *coldTarget) targetsChanged(now time.Time) {
-	service := c.service()
-	_, _, limited := service.ColdStart()
+	_, _, limited := c.service().ColdStart()
 	if !limited && !c.active.Load() {
 		return
 	}
 	c.active.Store(limited)
 	f := c.forwarder
 	c.observe(now, func(s *blwarmup.State) {
-		s.ObserveService(now, service)
+		s.ObserveService(now, c.service())
 		if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
 			s.ObserveEntry(now, e)
 		}
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -203,8 +203,9 @@
 	return c.idleSince
 }
 
-// Replaces reports whether the connection was opened because the peer had closed all idle ones, and none from before was in use.
-// The peer may have closed them at any time since the returned one, when the least recently used of them was used last.
+// Replaces reports whether the connection was opened for the current call because the peer had closed all idle ones, and none from
+// before was in use. The peer may have closed them at any time since the returned one, when the least recently used of them was used
+// last.
 func (c *Conn) Replaces() (since time.Time, closed bool) {
 	return c.closedSince, !c.closedSince.IsZero()
 }
--- a/basillift/blpool/pool.go
+++ b/basillift/blpool/pool.go
@@ -158,7 +158,7 @@
 		p.Discard(c)
 		return
 	}
-	c.openedWhenIdle = p.opened
+	c.openedWhenIdle, c.closedSince = p.opened, time.Time{}
 	p.idle = append(p.idle, c)
 	p.mutex.Unlock()
 }
