--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -38,6 +38,8 @@
 	state  *blwarmup.State
 	// limit is the limit in force; nil for none.
 	limit atomic.Pointer[blwarmup.Limit]
+	// logged is set if the beginning of the limit in force was logged. The mutex guards it.
+	logged bool
 	// evacuationEnd is the last end of an evacuation that the state has observed; nil for none.
 	evacuationEnd atomic.Pointer[time.Time]
 	// wake makes loop ask the state once more.
@@ -179,7 +181,8 @@
 	}
 }
 
-// apply makes the admission keep the limit, and logs when it begins and ends. It must be called with the mutex held.
+// apply makes the admission keep the limit, and logs when it begins and ends. A limit is not logged while a broken connection may
+// still be explained, since that takes milliseconds. apply must be called with the mutex held.
 func (c *coldTarget) apply(now time.Time) {
 	before, limit := c.limit.Load(), c.state.Limit(now)
 	c.forwarder.admission.setColdLimit(now, limit.PerSecond(), limit.Active())
@@ -189,7 +192,8 @@
 	case before != nil:
 		c.limit.Store(nil)
 	}
-	if limit.Active() != (before != nil) {
+	if limit.Active() != c.logged && !c.state.AwaitsSurvivors() {
+		c.logged = limit.Active()
 		c.logChange(now, limit)
 	}
 }
--- a/basillift/blforwarder/coldtarget_test.go
+++ b/basillift/blforwarder/coldtarget_test.go
@@ -1,7 +1,9 @@
 package blforwarder
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +14,9 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/bltable"
 	"basillift.dev/basillift/blwarmup"
 )
 
@@ -282,6 +287,31 @@
 	is.Equal(m.forwarders[0].cold.limit.Load(), nil)
 }
 
+// Guards against two events for each request that a warm target breaks off.
+func TestBrokenConnectionOfWarmTargetIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, err := bllog.New(&out, "info", "vm1")
+	is.NoErr(err)
+	tables, now := bltable.NewHolder(), time.Now()
+	service := basillift.NewServiceLimits("catalogue", "/h", 100).WithColdStart(3*time.Second, 11)
+	_, err = tables.Adopt(basillift.NewRoutingSpec(1, nil, []basillift.ServiceLimits{service}, basillift.ClientLimits{}))
+	is.NoErr(err)
+	f := New(NewSettings("", "", "").WithTarget("127.0.0.1:1", "catalogue", "a"), tables, blfleet.New(), log, rand.New(rand.NewSource(1)))
+	f.TargetsChanged(now)
+	f.cold.observe(now, func(s *blwarmup.State) { s.EndCheck(now, s.StartCheck(now), blwarmup.NewHealthAnswer("i", 0)) })
+	is.True(strings.Contains(out.String(), `"event":410`) && strings.Contains(out.String(), `"event":411`))
+	out.Reset()
+	breakOff := func(outlived bool) {
+		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveBroken(now, now) })
+		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveSurvivors(outlived) })
+	}
+	breakOff(true)
+	is.Equal(out.String(), "")
+	breakOff(false)
+	is.True(strings.Contains(out.String(), `"event":410`))
+}
+
 // Guards against a load report that an older daemon cannot read, and against a cold limit that is lost or taken for the target's
 // own limit.
 func TestLoadReportCarriesColdLimit(t *testing.T) {
--- a/basillift/blwarmup/state.go
+++ b/basillift/blwarmup/state.go
@@ -115,7 +115,7 @@
 	if s.mayCheck() && s.checks.at.Before(at) {
 		at = s.checks.at
 	}
-	if s.awaitsSurvivors() {
+	if s.AwaitsSurvivors() {
 		at = s.unknownSince.Add(survivorDelay)
 	}
 	return at, true
--- a/basillift/blwarmup/survivors.go
+++ b/basillift/blwarmup/survivors.go
@@ -12,7 +12,7 @@
 
 // SurvivorsDue reports whether it is time to find out whether a connection that was opened before the returned time is still open.
 func (s *State) SurvivorsDue(now time.Time) (openedBefore time.Time, due bool) {
-	return s.brokenSince, s.awaitsSurvivors() && !now.Before(s.unknownSince.Add(survivorDelay))
+	return s.brokenSince, s.AwaitsSurvivors() && !now.Before(s.unknownSince.Add(survivorDelay))
 }
 
 // ObserveSurvivors records whether there is such a connection.
@@ -23,7 +23,9 @@
 	}
 }
 
-func (s *State) awaitsSurvivors() bool { return s.cause == CauseBroken && !s.survivorsAsked }
+// AwaitsSurvivors reports whether a broken connection is the only cause and it was not found out yet whether another one has
+// outlived it.
+func (s *State) AwaitsSurvivors() bool { return s.cause == CauseBroken && !s.survivorsAsked }
 
 // endBroken ends an unknown state whose only cause were broken connections: what was known before holds.
 func (s *State) endBroken() { s.cause, s.restartExpected = CauseNone, false }
