--- a/basillift/bladmit/deadlinequeue.go
+++ b/basillift/bladmit/deadlinequeue.go
@@ -87,12 +87,16 @@
 }
 
 // NextStart returns how long the first waiting request has to wait for the request limit; false if it waits for a slot, or
-// none waits. Dispatch has to be called then.
+// none waits. Dispatch and RemoveUnservable have to be called then. While a cold limit has just begun, it is when
+// RemoveUnservable has an effect.
 func (q *DeadlineQueue) NextStart(now time.Time) (time.Duration, bool) {
-	if len(q.waiting) == 0 || len(q.running) >= q.slots {
+	if len(q.waiting) == 0 {
 		return 0, false
 	}
-	return q.limit.wait(now, 0), true
+	if grace := q.limit.graceLeft(now); grace > 0 {
+		return grace, true
+	}
+	return q.limit.wait(now, 0), len(q.running) < q.slots
 }
 
 // Dispatch returns the ids of the waiting requests that start.
@@ -100,11 +104,12 @@
 
 // RemoveUnservable removes the waiting requests that are not expected to start in time any more, since requests with better
 // places arrived or the request limit was lowered. It returns their ids. One that may have a late place gets that instead if
-// it can. It has to be called after each change of the queue.
+// it can. A cold limit that has just begun removes none, since it may end at once. It has to be called after each change of the
+// queue.
 func (q *DeadlineQueue) RemoveUnservable(now time.Time) []uint64 {
 	removed := q.displaced
 	q.displaced = nil
-	if len(q.waiting) == 0 {
+	if len(q.waiting) == 0 || q.limit.graceLeft(now) > 0 {
 		return removed
 	}
 	kept, lost := q.capacity(SlotRequest{}).plan(now, q.waiting)
--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -38,6 +38,10 @@
 	state  *blwarmup.State
 	// limit is the limit in force; nil for none.
 	limit atomic.Pointer[blwarmup.Limit]
+	// logged is set if the beginning of the limit in force was logged. The mutex guards it.
+	logged bool
+	// evacuationEnd is the last end of an evacuation that the state has observed; nil for none.
+	evacuationEnd atomic.Pointer[time.Time]
 	// wake makes loop ask the state once more.
 	wake chan struct{}
 }
@@ -83,39 +87,54 @@
 	return due, next
 }
 
-// service returns the settings of the target's service; empty without a routing table.
+// service returns the settings of the target's service; empty without a routing table. The service is the one by which others
+// place requests, that of the target's entry, or that of the daemon's settings if there is no entry.
 func (c *coldTarget) service() basillift.ServiceLimits {
 	table := c.forwarder.tables.Current()
 	if table == nil {
 		return basillift.ServiceLimits{}
 	}
-	s, _ := table.Service(c.forwarder.settings.service)
+	s, _ := table.Service(c.forwarder.ownTarget("").Service())
 	return s
 }
 
 // targetsChanged observes the settings of the service, the entry of the target and evacuations. It must be called after each
 // change of these.
 func (c *coldTarget) targetsChanged(now time.Time) {
-	service := c.service()
-	_, _, limited := service.ColdStart()
+	_, _, limited := c.service().ColdStart()
 	if !limited && !c.active.Load() {
 		return
 	}
 	c.active.Store(limited)
 	f := c.forwarder
 	c.observe(now, func(s *blwarmup.State) {
-		s.ObserveService(now, service)
+		s.ObserveService(now, c.service())
 		if e, _, known := f.fleet.EndpointAt(f.settings.targetAddress); known {
 			s.ObserveEntry(now, e)
 		}
-		_, evacuated := f.evacuations.Evacuated(f.settings.domain)
+		domain := f.ownTarget("").Domain()
+		_, evacuated := f.evacuations.Evacuated(domain)
 		s.ObserveEvacuation(evacuated)
-		if ended, known := f.evacuations.EvacuationEnded(f.settings.domain); known {
+		if ended, known := f.evacuations.EvacuationEnded(domain); known {
 			s.ObserveEvacuationEnd(now, ended)
+			c.evacuationEnd.Store(&ended)
 		}
 	})
 }
 
+// requestArrived makes the limit begin that follows from the end of an evacuation, if a request arrives before targetsChanged is
+// called: the fleet knows the end somewhat earlier.
+func (c *coldTarget) requestArrived(now time.Time) {
+	if !c.active.Load() {
+		return
+	}
+	f := c.forwarder
+	ended, known := f.evacuations.EvacuationEnded(f.ownTarget("").Domain())
+	if observed := c.evacuationEnd.Load(); known && (observed == nil || !observed.Equal(ended)) {
+		c.targetsChanged(now)
+	}
+}
+
 // observeRefused records that the target refused a connection.
 func (c *coldTarget) observeRefused(now time.Time) {
 	if c.active.Load() {
@@ -162,7 +181,8 @@
 	}
 }
 
-// apply makes the admission keep the limit, and logs when it begins and ends. It must be called with the mutex held.
+// apply makes the admission keep the limit, and logs when it begins and ends. A limit is not logged while a broken connection may
+// still be explained, since that takes milliseconds. apply must be called with the mutex held.
 func (c *coldTarget) apply(now time.Time) {
 	before, limit := c.limit.Load(), c.state.Limit(now)
 	c.forwarder.admission.setColdLimit(now, limit.PerSecond(), limit.Active())
@@ -172,7 +192,8 @@
 	case before != nil:
 		c.limit.Store(nil)
 	}
-	if limit.Active() != (before != nil) {
+	if limit.Active() != c.logged && !c.state.AwaitsSurvivors() {
+		c.logged = limit.Active()
 		c.logChange(now, limit)
 	}
 }
--- a/basillift/blforwarder/coldtarget_test.go
+++ b/basillift/blforwarder/coldtarget_test.go
@@ -1,7 +1,9 @@
 package blforwarder
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +15,9 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/blexplain"
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/bltable"
 	"basillift.dev/basillift/blwarmup"
 )
 
@@ -176,6 +181,23 @@
 	m.forwarders[0].TargetsChanged(e.ended)
 }
 
+// Guards against a target at full rate after an evacuation, since its entry names another failure domain than the settings, or since a
+// request arrives before the daemon has been told of the end.
+func TestColdTargetAfterEvacuationByItsEntry(t *testing.T) {
+	is := is.New(t)
+	c, m := startColdMesh(t, 1, noEvacuations{})
+	f := m.forwarders[0]
+	f.evacuations = m.fleet
+	e := basillift.NewEndpoint("i0", "catalogue", c.address, "b", 4, basillift.TargetReady).WithDaemon(m.daemonAddresses[0])
+	m.fleet.Apply(time.Now(), basillift.NewRegistryEntry("t0", 20).WithEndpoint(e))
+	is.True(!m.awaitCause(t, blwarmup.CauseNone))
+	m.evacuate(evacuationOf("b", 21))
+	c.become(time.Minute, false)
+	m.fleet.Apply(time.Now(), removalOf("evacuate b", 22))
+	is.True(f.targetSide.checkAvailable(time.Now(), requestMetadata{instance: "i0"}) == nil)
+	is.True(m.awaitCause(t, blwarmup.CauseNone))
+}
+
 // Guards against a warm target that stays limited after the start of its daemon or a single broken request, or gets several health
 // checks.
 func TestWarmTargetIsNotLimited(t *testing.T) {
@@ -200,6 +222,32 @@
 	is.Equal(c.count(""), 1)
 }
 
+// Guards against a warm target that is limited with each request on the connection that replaced closed ones.
+func TestTargetThatClosedConnectionsIsNotLimited(t *testing.T) {
+	is := is.New(t)
+	c, m := startColdMesh(t, 1, noEvacuations{})
+	m.awaitCause(t, blwarmup.CauseNone)
+	callers := []*caller{m.dial(t, 0), m.dial(t, 0)}
+	for _, closes := range []bool{true, false} {
+		c.become(0, closes)
+		callers[0].send(get(fmt.Sprint("closes", closes), "/get/x"))
+		callers[0].assertAnswer(http.StatusOK, "")
+		for closes && m.forwarders[0].pools.Of(c.address).AnyIdle(time.Now()) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	is.True(!m.awaitCause(t, blwarmup.CauseNone))
+	// Both the connection of the health check and the one that replaced the closed one are used.
+	c.pairs.Add(2)
+	for i, each := range callers {
+		each.send(get(fmt.Sprint("pair", i), "/get/pair"))
+	}
+	for _, each := range callers {
+		each.assertAnswer(http.StatusOK, "")
+	}
+	is.Equal(m.forwarders[0].cold.limit.Load(), nil)
+}
+
 // Guards against a target that starts again beside its daemon, under the same instance, and gets requests at full rate.
 func TestRestartedTargetIsLimited(t *testing.T) {
 	for name, closes := range map[string]bool{"while it refuses connections": false, "which only its closed connections show": true} {
@@ -240,6 +288,31 @@
 	is.Equal(m.forwarders[0].cold.limit.Load(), nil)
 }
 
+// Guards against two events for each request that a warm target breaks off.
+func TestBrokenConnectionOfWarmTargetIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, err := bllog.New(&out, "info", "vm1")
+	is.NoErr(err)
+	tables, now := bltable.NewHolder(), time.Now()
+	service := basillift.NewServiceLimits("catalogue", "/h", 100).WithColdStart(3*time.Second, 11)
+	_, err = tables.Adopt(basillift.NewRoutingSpec(1, nil, []basillift.ServiceLimits{service}, basillift.ClientLimits{}))
+	is.NoErr(err)
+	f := New(NewSettings("", "", "").WithTarget("127.0.0.1:1", "catalogue", "a"), tables, blfleet.New(), log, rand.New(rand.NewSource(1)))
+	f.TargetsChanged(now)
+	f.cold.observe(now, func(s *blwarmup.State) { s.EndCheck(now, s.StartCheck(now), blwarmup.NewHealthAnswer("i", 0)) })
+	is.True(strings.Contains(out.String(), `"event":410`) && strings.Contains(out.String(), `"event":411`))
+	out.Reset()
+	breakOff := func(outlived bool) {
+		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveBroken(now, now) })
+		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveSurvivors(outlived) })
+	}
+	breakOff(true)
+	is.Equal(out.String(), "")
+	breakOff(false)
+	is.True(strings.Contains(out.String(), `"event":410`))
+}
+
 // Guards against a load report that an older daemon cannot read, and against a cold limit that is lost or taken for the target's
 // own limit.
 func TestLoadReportCarriesColdLimit(t *testing.T) {
