--- a/basillift/blbudget/doc.go
+++ b/basillift/blbudget/doc.go
@@ -12,5 +12,5 @@
 //	limits := blbudget.NewLimits(memoryMB, descriptors)
 //	limits.Admits(blbudget.ClassCaller, callers, all) // may one more connection be opened?
 //	limits.Fits(blbudget.SizeLarge, used, n)     // may a peer make the daemon hold n more bytes?
-//	victims := blbudget.Stalled(now, peers, n)   // which connections are closed to free n bytes
+//	stalled := blbudget.Stalled(now, peers, n)   // which connections are closed to free n bytes
 package blbudget
--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -76,8 +76,8 @@
 func (c *coldTarget) advance(now time.Time) (due *healthCheck, next time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if openedBefore, asked := c.state.SurvivorsDue(now); asked {
-		c.state.ObserveSurvivors(c.forwarder.pools.Of(c.forwarder.settings.targetAddress).AnyIdle(openedBefore))
+	if openedBefore, asked := c.state.OlderConnectionsDue(now); asked {
+		c.state.ObserveOlderConnections(c.forwarder.pools.Of(c.forwarder.settings.targetAddress).AnyIdle(openedBefore))
 	}
 	if c.state.CheckDue(now) {
 		due = &healthCheck{target: c, check: c.state.StartCheck(now), path: c.service().HealthPath()}
@@ -192,7 +192,7 @@
 	case before != nil:
 		c.limit.Store(nil)
 	}
-	if limit.Active() != c.logged && !c.state.AwaitsSurvivors() {
+	if limit.Active() != c.logged && !c.state.AwaitsOlderConnections() {
 		c.logged = limit.Active()
 		c.logChange(now, limit)
 	}
--- a/basillift/blforwarder/coldtarget_test.go
+++ b/basillift/blforwarder/coldtarget_test.go
@@ -305,7 +305,7 @@
 	out.Reset()
 	breakOff := func(outlived bool) {
 		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveBroken(now, now) })
-		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveSurvivors(outlived) })
+		f.cold.observe(now, func(s *blwarmup.State) { s.ObserveOlderConnections(outlived) })
 	}
 	breakOff(true)
 	is.Equal(out.String(), "")
--- a/basillift/blforwarder/evacuation.go
+++ b/basillift/blforwarder/evacuation.go
@@ -31,9 +31,9 @@
 	return limits
 }
 
-// explainRefusal returns the refusal of a request that waited. If it was refused because its target is evacuated, it says so, and
+// withEvacuatedReason returns the refusal of a request that waited. If it was refused because its target is evacuated, it says so, and
 // another target can be tried at once, whatever the queue expects.
-func (f *Forwarder) explainRefusal(refusal *answer) *answer {
+func (f *Forwarder) withEvacuatedReason(refusal *answer) *answer {
 	if _, evacuated := f.ownTargetEvacuated(); evacuated && refusal.reason == basillift.ReasonOverload {
 		refusal.reason, refusal.retryAfter = basillift.ReasonEvacuated, 0
 	}
--- a/basillift/blforwarder/peers.go
+++ b/basillift/blforwarder/peers.go
@@ -39,16 +39,16 @@
 	for _, s := range sessions {
 		peers = append(peers, s.progress.peer())
 	}
-	victims := blbudget.Stalled(now, peers, n)
-	for _, i := range victims {
-		sessions[i].giveWay(peers[i].Waiting())
+	stalled := blbudget.Stalled(now, peers, n)
+	for _, i := range stalled {
+		sessions[i].shed(peers[i].Waiting())
 	}
-	p.closed.Add(int64(len(victims)))
-	return len(victims)
+	p.closed.Add(int64(len(stalled)))
+	return len(stalled)
 }
 
-// noteRefusedSlot records that a request was refused a slot of the target.
-func (p *peerBudget) noteRefusedSlot(now time.Time) { p.refusedSlotAt.Store(now.UnixNano()) }
+// recordRefusedSlot records that a request was refused a slot of the target.
+func (p *peerBudget) recordRefusedSlot(now time.Time) { p.refusedSlotAt.Store(now.UnixNano()) }
 
 // refusedSlot reports whether a request was refused a slot lately. The queue refuses a request at once that it does not expect to
 // start in time, so bodies that hold all slots without progress may have no request waiting behind them.
--- a/basillift/blforwarder/progress.go
+++ b/basillift/blforwarder/progress.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// giveWay ends the session of a peer that makes no progress. A request that is not complete yet is refused.
-func (s *session) giveWay(w blbudget.Waiting) {
+// shed ends the session of a peer that makes no progress. A request that is not complete yet is refused.
+func (s *session) shed(w blbudget.Waiting) {
 	if !s.progress.gaveWay.CompareAndSwap(false, true) {
 		return
 	}
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -151,14 +151,14 @@
 	if f.quarantine.active.Load() {
 		latest := earlier(meta.deadline.Add(-f.admission.serviceTimeBound(meta)), meta.sendBy)
 		if refusal := f.quarantine.enter(ctx, now, run, latest, f.admission.load().MeanServiceTime()); refusal != nil {
-			return f.explainRefusal(refusal)
+			return f.withEvacuatedReason(refusal)
 		}
 	}
 	meta = f.admission.classify(now, meta)
 	id, refusal := f.admission.acquire(ctx, now, run.accepted, meta)
 	if refusal != nil {
-		f.peers.noteRefusedSlot(now)
-		refusal = t.explainQueueRefusal(refusal, meta)
+		f.peers.recordRefusedSlot(now)
+		refusal = t.queueRefusal(refusal, meta)
 		f.counters.countAdmission(refusal.admission, meta)
 		return refusal
 	}
--- a/basillift/blforwarder/targetpreview.go
+++ b/basillift/blforwarder/targetpreview.go
@@ -12,12 +12,12 @@
 	return t.forwarder.instanceLimits(meta.instance).lower(waitLimits{answerBy: meta.answerBy})
 }
 
-// explainQueueRefusal returns the queue's refusal of a request. This daemon or its target may serve no requests soon, whatever
+// queueRefusal returns the queue's refusal of a request. This daemon or its target may serve no requests soon, whatever
 // the queue expects.
-func (t *targetSide) explainQueueRefusal(refusal *answer, meta requestMetadata) *answer {
+func (t *targetSide) queueRefusal(refusal *answer, meta requestMetadata) *answer {
 	f := t.forwarder
 	refusal.nestedCall = meta.nestedCall
-	refusal = f.explainRefusal(refusal)
+	refusal = f.withEvacuatedReason(refusal)
 	if refusal.reason == basillift.ReasonOverload && (f.stopping.Load() || !f.leavingLimits(meta.instance).startBy.IsZero()) {
 		refusal.reason, refusal.retryAfter, refusal.admission = basillift.ReasonDraining, 0, ""
 	}
@@ -34,7 +34,7 @@
 	accepted := &acceptedRequest{instance: meta.instance, limits: f.accepted.restrict(t.waitLimits(meta))}
 	decision, meta = f.admission.preview(now, accepted, meta)
 	if decision.Result() == bladmit.AdmissionRefuse {
-		refusal = t.explainQueueRefusal(notRunAnswer(decision.Reason(), decision.RetryAfter()), meta)
+		refusal = t.queueRefusal(notRunAnswer(decision.Reason(), decision.RetryAfter()), meta)
 	}
 	return decision, refusal
 }
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -84,8 +84,8 @@
 	}
 	a := &answer{status: http.StatusOK, outcome: basillift.OutcomeDone}
 	if refusal != nil {
-		f.peers.noteRefusedSlot(now)
-		a = f.explainRefusal(refusal)
+		f.peers.recordRefusedSlot(now)
+		a = f.withEvacuatedReason(refusal)
 	}
 	a.load = t.loadReport()
 	return a
--- a/basillift/blwarmup/check.go
+++ b/basillift/blwarmup/check.go
@@ -63,7 +63,7 @@
 
 // postpone makes a check due that is needed because of a broken connection: at most one within a warm-up.
 func (c *checkSchedule) postpone(now time.Time, warmup time.Duration) {
-	c.restart(now.Add(survivorDelay))
+	c.restart(now.Add(olderConnectionsDelay))
 	if !c.lastForBroken.IsZero() {
 		c.at = later(c.at, c.lastForBroken.Add(warmup))
 	}
--- a/basillift/blwarmup/doc.go
+++ b/basillift/blwarmup/doc.go
@@ -22,8 +22,8 @@
 //	state.ObserveService(now, limits)                     // the settings of the service in the routing table
 //	state.ObserveEntry(now, endpoint)                     // the target's entry in the registry
 //	state.ObserveRefused(now)                             // the target refused a connection
-//	if openedBefore, due := state.SurvivorsDue(now); due {
-//		state.ObserveSurvivors(pool.AnyIdle(openedBefore))
+//	if openedBefore, due := state.OlderConnectionsDue(now); due {
+//		state.ObserveOlderConnections(pool.AnyIdle(openedBefore))
 //	}
 //	if state.CheckDue(now) {
 //		check := state.StartCheck(now)
--- a/basillift/blwarmup/observe.go
+++ b/basillift/blwarmup/observe.go
@@ -90,7 +90,7 @@
 	fromBefore := s.cause == CauseBroken && opened.Before(s.brokenSince)
 	switch {
 	case fromBefore && began.Before(s.unknownSince):
-		s.survivorsAsked = false
+		s.olderConnectionsAsked = false
 		return
 	case fromBefore:
 		s.endBroken()
--- a/basillift/blwarmup/state.go
+++ b/basillift/blwarmup/state.go
@@ -42,8 +42,8 @@
 	unknownSince time.Time
 	// brokenSince is the earliest time at which one of the broken connections had been used before, if cause is CauseBroken.
 	brokenSince time.Time
-	// survivorsAsked is set once it was found that no idle connection has outlived the broken one. One that was in use may still do so.
-	survivorsAsked bool
+	// olderConnectionsAsked is set once it was found that no idle connection has outlived the broken one. One that was in use may still do so.
+	olderConnectionsAsked bool
 	// reachableSince is when the target was first reachable since the state became unknown; zero if it was not.
 	reachableSince time.Time
 	// coldUntil is the end of the last known cold phase.
@@ -115,8 +115,8 @@
 	if s.mayCheck() && s.checks.at.Before(at) {
 		at = s.checks.at
 	}
-	if s.AwaitsSurvivors() {
-		at = s.unknownSince.Add(survivorDelay)
+	if s.AwaitsOlderConnections() {
+		at = s.unknownSince.Add(olderConnectionsDelay)
 	}
 	return at, true
 }
@@ -141,7 +141,7 @@
 func (s *State) becomeUnknown(now time.Time, c Cause) {
 	s.expire(now)
 	previous := s.cause
-	s.unknownSince, s.reachableSince, s.restartExpected, s.survivorsAsked = now, time.Time{}, true, false
+	s.unknownSince, s.reachableSince, s.restartExpected, s.olderConnectionsAsked = now, time.Time{}, true, false
 	switch {
 	case c == CauseBroken && previous == CauseNone:
 		s.cause = c
--- a/basillift/blwarmup/state_test.go
+++ b/basillift/blwarmup/state_test.go
@@ -41,11 +41,11 @@
 
 func nothing(*State, time.Time)       {}
 func refused(s *State, now time.Time) { s.ObserveRefused(now) }
-func survived(s *State, _ time.Time)  { s.ObserveSurvivors(true) }
-func died(s *State, _ time.Time)      { s.ObserveSurvivors(false) }
+func survived(s *State, _ time.Time)  { s.ObserveOlderConnections(true) }
+func died(s *State, _ time.Time)      { s.ObserveOlderConnections(false) }
 func asked(s *State, now time.Time) {
-	if _, due := s.SurvivorsDue(now); due {
-		s.ObserveSurvivors(true)
+	if _, due := s.OlderConnectionsDue(now); due {
+		s.ObserveOlderConnections(true)
 	}
 }
 func evacuationEnded(s *State, now time.Time) { s.ObserveEvacuationEnd(now, now) }
