--- a/basillift/blforwarder/slotqueue.go
+++ b/basillift/blforwarder/slotqueue.go
@@ -141,30 +141,26 @@
 
 // setRequestLimit sets how many requests per second the target accepts.
 func (sq *slotQueue) setRequestLimit(now time.Time, perSecond float64, limited bool) {
-	if !limited {
-		perSecond = noRequestLimit
-	}
-	sq.mutex.Lock()
-	defer sq.mutex.Unlock()
-	if perSecond == sq.requestLimit {
-		return
-	}
-	sq.requestLimit = perSecond
-	sq.notify(now, sq.queue.SetRequestLimit(now, perSecond, limited))
+	sq.setLimit(now, &sq.requestLimit, sq.queue.SetRequestLimit, perSecond, limited)
 }
 
 // setColdLimit sets how many requests per second the target gets because it is or may be cold.
 func (sq *slotQueue) setColdLimit(now time.Time, perSecond float64, limited bool) {
+	sq.setLimit(now, &sq.coldLimit, sq.queue.SetColdLimit, perSecond, limited)
+}
+
+// setLimit passes a limit on to the queue if it differs from the current one.
+func (sq *slotQueue) setLimit(now time.Time, current *float64, set func(now time.Time, perSecond float64, limited bool) []uint64, perSecond float64, limited bool) {
 	if !limited {
 		perSecond = noRequestLimit
 	}
 	sq.mutex.Lock()
 	defer sq.mutex.Unlock()
-	if perSecond == sq.coldLimit {
+	if perSecond == *current {
 		return
 	}
-	sq.coldLimit = perSecond
-	sq.notify(now, sq.queue.SetColdLimit(now, perSecond, limited))
+	*current = perSecond
+	sq.notify(now, set(now, perSecond, limited))
 }
 
 // notify tells waiting requests that they start, refuses those that cannot start in time any more, and sets the timer for
