--- a/basillift/blwarmup/olderconnections.go
+++ b/basillift/blwarmup/olderconnections.go
@@ -25,7 +25,9 @@
 
 // AwaitsOlderConnections reports whether a broken connection is the only cause and it was not found out yet whether another one has
 // outlived it.
-func (s *State) AwaitsOlderConnections() bool { return s.cause == CauseBroken && !s.olderConnectionsAsked }
+func (s *State) AwaitsOlderConnections() bool {
+	return s.cause == CauseBroken && !s.olderConnectionsAsked
+}
 
 // endBroken ends an unknown state whose only cause were broken connections: what was known before holds.
 func (s *State) endBroken() { s.cause, s.restartExpected = CauseNone, false }
