--- a/basilliftd/crowd_test.go
+++ b/basilliftd/crowd_test.go
@@ -48,12 +48,12 @@
 // target and a common port.
 func startDaemons(t *testing.T, program string, count int) []*daemonProcess {
 	t.Helper()
-	values := map[string]string{"op/config": crowdTable}
+	values := map[string]string{platform.KeyRouting: crowdTable}
 	var targets []string
 	for i := range count {
 		target := startTarget(t, fmt.Sprintf("127.0.71.%d", i+1))
 		targets = append(targets, target)
-		values[fmt.Sprintf("servers/i-%d", i)] = fmt.Sprintf(
+		values[fmt.Sprintf("%si-%d", platform.KeyTargets, i)] = fmt.Sprintf(
 			`{"service":"catalogue","address":%q,"zone":"a","version":"v1","slots":12,"state":"ready","seq":1,"born":1700000000000}`, target)
 	}
 	store := startStore(t, values)
--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -15,6 +15,7 @@
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blsettings"
 	"basillift.dev/basillift/blwatch"
+	"basillift.dev/platform"
 )
 
 // newQuietDaemon returns a daemon that routes by table and has not been started, and its log.
@@ -33,14 +34,14 @@
 
 // testTable returns a routing table with one route.
 func testTable() basillift.RegistryEntry {
-	return basillift.NewRegistryEntry("op/config", 1).WithRoutingSpec(basillift.NewRoutingSpec(1,
+	return basillift.NewRegistryEntry(platform.KeyRouting, 1).WithRoutingSpec(basillift.NewRoutingSpec(1,
 		[]basillift.Route{basillift.NewRoute("r", "h.example", "/", basillift.KindIdempotent, basillift.NewWeightedService("catalogue", 1))},
 		[]basillift.ServiceLimits{basillift.NewServiceLimits("catalogue", "/h", 10)}, basillift.ClientLimits{}))
 }
 
 // Guards against an evacuation that is lost between the registry and the fleet, the feed cache or the log.
 func TestEvacuationPassesThroughDaemon(t *testing.T) {
-	const key = "op/evacuate/a"
+	const key = platform.KeyEvacuations + "a"
 	now := time.Now()
 	begin := func(revision basillift.Revision) basillift.RegistryEntry {
 		return basillift.NewRegistryEntry(key, revision).WithEvacuation("a")
@@ -122,10 +123,10 @@
 		}
 		d.fallback = newEvacuationFallback(d, cacheClient{other.cache}, 1)
 		lose(d)
-		other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 11).WithEvacuation("b"))
+		other.Apply(now, basillift.NewRegistryEntry(platform.KeyEvacuations+"b", 11).WithEvacuation("b"))
 		awaitEvacuated(t, d, true)
 		is.Equal(len(d.fleet.Targets("catalogue")), 0)
-		other.Apply(now, basillift.NewRegistryEntry("op/evacuate/b", 12).WithEvacuationEnd("b"))
+		other.Apply(now, basillift.NewRegistryEntry(platform.KeyEvacuations+"b", 12).WithEvacuationEnd("b"))
 		awaitEvacuated(t, d, false)
 		is.Equal(len(d.fleet.Targets("catalogue")), 1)
 		return d
@@ -148,7 +149,7 @@
 	now := time.Now()
 	d, _ := newQuietDaemon(t)
 	s := blwatch.NewWatchState(now, rand.New(rand.NewSource(1)))
-	key := basillift.NewRegistryEntry("op/evacuate/b", 22).WithEvacuation("b")
+	key := basillift.NewRegistryEntry(platform.KeyEvacuations+"b", 22).WithEvacuation("b")
 	list := func(revision basillift.Revision, pages ...[]basillift.RegistryEntry) {
 		for i, entries := range pages {
 			next := strings.Repeat("x", len(pages)-1-i)
