--- a/basillift/bladmit/requestlimit.go
+++ b/basillift/bladmit/requestlimit.go
@@ -19,8 +19,6 @@
 	coldGrace = 10 * time.Millisecond
 	// minRequestLimit keeps a request going to a target from time to time, since only an answer can end a limit.
 	minRequestLimit = 0.1
-	// maxReturnSpread bounds by how much the return of a refused request is delayed behind those refused before it.
-	maxReturnSpread = time.Second
 )
 
 // requestLimit paces the requests to a target that accepts only some per second, for either of two reasons: the target names a
@@ -130,9 +128,6 @@
 	if l.limiter == nil {
 		return wait
 	}
-	if behind := l.nextReturn.Sub(now); behind > wait {
-		wait = min(behind, wait+maxReturnSpread)
-	}
-	l.nextReturn = now.Add(wait + seconds(1/float64(l.limiter.Limit())))
+	wait, l.nextReturn = spreadReturn(now, l.nextReturn, wait, seconds(1/float64(l.limiter.Limit())))
 	return wait
 }
--- a/basillift/blforwarder/bodybudget.go
+++ b/basillift/blforwarder/bodybudget.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// maxBufferedTotal bounds the memory for peers if that of the machine is not known.
-	maxBufferedTotal = 48 << 20
 	// minBufferedBytes is the part of each body that is held in memory in any case.
 	minBufferedBytes = 4 << 10
 	// reclaimTimeout is how long a request waits for the memory of the connections that give way to it. Closing them takes
@@ -72,12 +70,18 @@
 	if b.take(held, n) {
 		return true
 	}
-	for end := time.Now().Add(reclaimTimeout); ; time.Sleep(reclaimInterval) {
-		if b.take(held, n) {
+	return b.retryReclaiming(reclaimInterval, max(n, b.limits.PeerBytes()/reclaimShare), &b.refused, func() bool { return b.take(held, n) })
+}
+
+// retryReclaiming closes connections that make no progress and hold n bytes, and tries again at an interval until that succeeds. It
+// returns false, and counts a refusal, if there are no such connections or they do not end in time.
+func (b *bodyBudget) retryReclaiming(interval time.Duration, n int64, refused *atomic.Int64, try func() bool) bool {
+	for end := time.Now().Add(reclaimTimeout); ; time.Sleep(interval) {
+		if try() {
 			return true
 		}
-		if now := time.Now(); now.After(end) || !b.startReclaim(now, max(n, b.limits.PeerBytes()/reclaimShare)) {
-			b.refused.Add(1)
+		if now := time.Now(); now.After(end) || !b.startReclaim(now, n) {
+			refused.Add(1)
 			return false
 		}
 	}
--- a/basillift/blforwarder/caller.go
+++ b/basillift/blforwarder/caller.go
@@ -113,14 +113,10 @@
 
 // prepare chooses the service and sets the deadlines and the metadata that all attempts share.
 func (c *callerSide) prepare(r *request, route *basillift.Route, l lookups) *routedRequest {
-	timeout := route.Timeout()
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
+	timeout, callerTimeout, stated := c.timeout(r, route.Timeout())
 	elapsed := time.Duration(0)
 	var callerDeadline time.Time
-	if callerTimeout, ok := r.headerMillis(c.forwarder.settings.headerNames.Deadline()); ok {
-		timeout = min(timeout, max(0, callerTimeout-callerMargin))
+	if stated {
 		elapsed = l.elapsedWait(route.Name(), callerTimeout)
 		callerDeadline = r.arrived.Add(callerTimeout)
 	}
--- a/basillift/blforwarder/coldtarget.go
+++ b/basillift/blforwarder/coldtarget.go
@@ -90,12 +90,7 @@
 // service returns the settings of the target's service; empty without a routing table. The service is the one by which others
 // place requests, that of the target's entry, or that of the daemon's settings if there is no entry.
 func (c *coldTarget) service() basillift.ServiceLimits {
-	table := c.forwarder.tables.Current()
-	if table == nil {
-		return basillift.ServiceLimits{}
-	}
-	s, _ := table.Service(c.forwarder.ownTarget("").Service())
-	return s
+	return c.forwarder.serviceLimits(c.forwarder.ownTarget("").Service())
 }
 
 // targetsChanged observes the settings of the service, the entry of the target and evacuations. It must be called after each
@@ -241,12 +236,17 @@
 
 // coldStart returns the cold start of a service by the routing table in force.
 func (f *Forwarder) coldStart(service string) (warmup time.Duration, perSecond float64, limited bool) {
+	return f.serviceLimits(service).ColdStart()
+}
+
+// serviceLimits returns the settings of a service in the routing table in force; empty without one.
+func (f *Forwarder) serviceLimits(service string) basillift.ServiceLimits {
 	table := f.tables.Current()
 	if table == nil {
-		return 0, 0, false
+		return basillift.ServiceLimits{}
 	}
 	s, _ := table.Service(service)
-	return s.ColdStart()
+	return s
 }
 
 // isDisconnect reports whether an error means that the peer closed or reset the connection, as opposed to a timeout or a
--- a/basillift/blforwarder/endlessanswer_test.go
+++ b/basillift/blforwarder/endlessanswer_test.go
@@ -176,6 +176,8 @@
 		// connectionBytes bounds what a request takes besides bodies: at each of two daemons 68 KB of buffers for its connections
 		// and its answer, and less than 28 KB for its state there and for the test's side of the connection.
 		connectionBytes = 2 * (68 + 28) << 10
+		// maxBufferedTotal is the memory for peers if that of the machine is not known.
+		maxBufferedTotal = 48 << 20
 		// Each target has a daemon, all in the process of the test. A body that is growing is held twice.
 		allowedBytes = 2*targets*maxBufferedTotal + requests*connectionBytes
 	)
--- a/basillift/blforwarder/peers.go
+++ b/basillift/blforwarder/peers.go
@@ -67,15 +67,7 @@
 	if p.open(class) {
 		return true
 	}
-	for end := time.Now().Add(reclaimTimeout); ; time.Sleep(time.Millisecond) {
-		if p.open(class) {
-			return true
-		}
-		if now := time.Now(); now.After(end) || !p.memory.startReclaim(now, reclaimConnections*blbudget.ConnectionBytes) {
-			p.connections.refused.Add(1)
-			return false
-		}
-	}
+	return p.memory.retryReclaiming(time.Millisecond, reclaimConnections*blbudget.ConnectionBytes, &p.connections.refused, func() bool { return p.open(class) })
 }
 
 // open counts a new connection if there are descriptors and memory for it. Connections of other daemons are admitted without
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -192,17 +192,21 @@
 
 // checkAvailable returns a refusal if the request cannot run here whatever the load is, and nil otherwise.
 func (t *targetSide) checkAvailable(now time.Time, meta requestMetadata) (refusal *answer) {
-	f := t.forwarder
-	if f.refusesRequests.Load() {
-		return notRunAnswer(basillift.ReasonDraining, 0)
-	}
-	refusal = t.checkTarget(now, meta)
+	refusal = t.unavailable(now, meta)
 	if refusal == nil {
-		f.cold.requestArrived(now)
+		t.forwarder.cold.requestArrived(now)
 	}
 	return refusal
 }
 
+// unavailable returns what checkAvailable returns, and changes nothing.
+func (t *targetSide) unavailable(now time.Time, meta requestMetadata) (refusal *answer) {
+	if t.forwarder.refusesRequests.Load() {
+		return notRunAnswer(basillift.ReasonDraining, 0)
+	}
+	return t.checkTarget(now, meta)
+}
+
 // checkTarget returns a refusal if the target must not get a request, and nil otherwise. It is called when a request arrives
 // and again just before it is sent.
 func (t *targetSide) checkTarget(now time.Time, meta requestMetadata) (refusal *answer) {
--- a/basillift/blforwarder/targetpreview.go
+++ b/basillift/blforwarder/targetpreview.go
@@ -27,7 +27,7 @@
 // preview returns what this daemon would decide now on a request for its own target: a refusal, or to run it or let it wait. It
 // changes nothing. A quarantine is not part of it, since that depends on the whole request.
 func (t *targetSide) preview(now time.Time, meta requestMetadata) (decision bladmit.AdmissionDecision, refusal *answer) {
-	if refusal = t.checkAvailable(now, meta); refusal != nil {
+	if refusal = t.unavailable(now, meta); refusal != nil {
 		return decision, refusal
 	}
 	f := t.forwarder
