blwatch, basilliftd: log how an outage ended, and how long an answer took to be in force

Cause: nothing was logged between 202 and 204, so the log could not tell a daemon that got no answer from one that held an answer and had not applied it: the first two hypotheses of docs/incidents/2026-12-06-old-table-after-outage.md.

Change: 204 has unanswered_ms and failed_requests, 200 has after_ms. The handler of a watcher gets both as one value, blwatch.Outage.

Result: tests of blwatch and basilliftd pass; TestBackoff checks the number of failed requests as well.

--- a/basillift/blwatch/state.go
+++ b/basillift/blwatch/state.go
@@ -46,6 +46,29 @@
 	peerLeadTimeout = maxTransferPause + 200*time.Millisecond
 )
 
+// Outage describes a time during which the registry did not answer this daemon.
+type Outage struct {
+	unanswered  time.Duration
+	failures    int
+	partitioned bool
+}
+
+// NewOutage returns an outage. unanswered is the time from the registry's last answer before it to the first one after it, and
+// failures the number of requests that failed meanwhile.
+func NewOutage(unanswered time.Duration, failures int, partitioned bool) Outage {
+	return Outage{unanswered: unanswered, failures: failures, partitioned: partitioned}
+}
+
+// Unanswered is the time from the last answer before the outage to the first one after it.
+func (o Outage) Unanswered() time.Duration { return o.unanswered }
+
+// Failures is the number of requests that failed during the outage.
+func (o Outage) Failures() int { return o.failures }
+
+// Partitioned reports whether the registry was unreachable for this daemon only: other daemons received changes meanwhile, so the
+// registry cannot have lost entries.
+func (o Outage) Partitioned() bool { return o.partitioned }
+
 // OperationKind is the kind of the next request to the registry.
 type OperationKind string
 
@@ -103,6 +126,8 @@
 	peerRevisionDue time.Time
 	// partitioned is set if other daemons receive changes while this daemon gets no answer.
 	partitioned bool
+	// lastOutage is the last outage that has ended.
+	lastOutage Outage
 }
 
 // NewWatchState returns the state of a watcher that has not listed the registry yet.
@@ -232,8 +257,8 @@
 	return s.peerRevisionDue, true
 }
 
-// Partitioned reports whether the last outage affected this daemon only: other daemons received changes meanwhile.
-func (s *WatchState) Partitioned() bool { return s.partitioned }
+// LastOutage returns the last outage that has ended.
+func (s *WatchState) LastOutage() Outage { return s.lastOutage }
 
 // Overdue reports whether another daemon has been ahead for too long.
 func (s *WatchState) Overdue(now time.Time) bool {
@@ -255,6 +280,9 @@
 // recordAnswer records an answer and reports whether it ends an outage.
 func (s *WatchState) recordAnswer(now time.Time) (recovered bool) {
 	recovered = s.down
+	if recovered {
+		s.lastOutage = NewOutage(now.Sub(s.lastAnswer), s.failures, s.partitioned)
+	}
 	s.down, s.failures, s.lastAnswer = false, 0, now
 	return recovered
 }
--- a/basillift/blwatch/state_test.go
+++ b/basillift/blwatch/state_test.go
@@ -85,6 +85,7 @@
 	is.True(last >= maxBackoff/2)
 	_, recovered := s.Changed(start, basillift.NewRegistryPage(nil, 8, ""))
 	is.True(recovered)
+	is.Equal(s.LastOutage().Failures(), 12)
 	is.Equal(s.Next(start).Pause(), time.Duration(0))
 }
 
@@ -120,7 +121,7 @@
 		observe(s)
 		_, recovered := s.Changed(start, basillift.NewRegistryPage(nil, 9, ""))
 		is.New(t).True(recovered)
-		return s.Partitioned()
+		return s.LastOutage().Partitioned()
 	}
 	t.Run("other daemons are ahead during the outage", func(t *testing.T) {
 		is.New(t).True(partitionedAfter(func(s *WatchState) { s.ObserveRevision(start, 5) }))
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -28,9 +28,8 @@
 	WaitFailed(now time.Time, unanswered time.Duration, err error)
 	// RegistryDown reports that the registry no longer answers.
 	RegistryDown(now time.Time, err error)
-	// RegistryRecovered reports that the registry answers again. partitioned means that it was unreachable for this
-	// daemon only, so that it cannot have lost entries.
-	RegistryRecovered(now time.Time, partitioned bool)
+	// RegistryRecovered reports that the registry answers again. The answer is passed to Replace or Apply with the same time.
+	RegistryRecovered(now time.Time, o Outage)
 }
 
 // Watcher reads the registry and passes its content and changes to a Handler. It implements basillift.RevisionGossip.
@@ -144,9 +143,9 @@
 	now := time.Now()
 	w.mutex.Lock()
 	changes, recovered := w.state.Changed(now, page)
-	partitioned := w.state.Partitioned()
+	outage := w.state.LastOutage()
 	w.mutex.Unlock()
-	w.reportRecovery(now, recovered, partitioned)
+	w.reportRecovery(now, recovered, outage)
 	for _, e := range changes {
 		w.handler.Apply(now, e)
 	}
@@ -161,9 +160,9 @@
 	now := time.Now()
 	w.mutex.Lock()
 	all, complete, recovered := w.state.Listed(now, page)
-	partitioned, revision := w.state.Partitioned(), w.state.revision
+	outage, revision := w.state.LastOutage(), w.state.revision
 	w.mutex.Unlock()
-	w.reportRecovery(now, recovered, partitioned)
+	w.reportRecovery(now, recovered, outage)
 	if complete {
 		w.handler.Replace(now, revision, all)
 	}
@@ -205,8 +204,8 @@
 }
 
 // reportRecovery reports the end of an outage to the handler.
-func (w *Watcher) reportRecovery(now time.Time, recovered, partitioned bool) {
+func (w *Watcher) reportRecovery(now time.Time, recovered bool, o Outage) {
 	if recovered {
-		w.handler.RegistryRecovered(now, partitioned)
+		w.handler.RegistryRecovered(now, o)
 	}
 }
--- a/basillift/blwatch/watcher_test.go
+++ b/basillift/blwatch/watcher_test.go
@@ -138,7 +138,7 @@
 
 func (h *recorder) RegistryDown(time.Time, error) {}
 
-func (h *recorder) RegistryRecovered(time.Time, bool) {}
+func (h *recorder) RegistryRecovered(time.Time, Outage) {}
 
 // staleness returns how long after the registry went silent a watcher applied the next change, and how many failed waits it
 // reported. The registry goes silent some time after the change before.
--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -134,7 +134,7 @@
 	t.Run("registry down", func(t *testing.T) {
 		d := assertLearns(t, func(d *tableDaemon) { d.RegistryDown(now, basillift.ErrUnavailable) })
 		is.New(t).Equal(d.cache.ServeFeed(context.Background(), basillift.NewFeedRequest(0, 0)).State(), basillift.FeedStale)
-		d.RegistryRecovered(now, true)
+		d.RegistryRecovered(now, blwatch.NewOutage(time.Second, 2, true))
 		is.New(t).True(d.fallback.cancel == nil)
 	})
 	t.Run("registry silent", func(t *testing.T) {
--- a/basilliftd/evacuationfallback.go
+++ b/basilliftd/evacuationfallback.go
@@ -100,7 +100,7 @@
 func (e *evacuationFallback) RegistryDown(time.Time, error) {}
 
 // RegistryRecovered implements blwatch.Handler.
-func (e *evacuationFallback) RegistryRecovered(time.Time, bool) {}
+func (e *evacuationFallback) RegistryRecovered(time.Time, blwatch.Outage) {}
 
 // lostRegistry stands for the registry that does not answer.
 type lostRegistry struct{}
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -291,7 +291,7 @@
 	current := d.fleet.Replace(now, revision, endpoints)
 	d.logEvacuations()
 	for _, entry := range tables {
-		d.adopt(entry)
+		d.adopt(now, entry)
 	}
 	if d.cache != nil {
 		d.cache.Replace(now, revision, current)
@@ -301,7 +301,7 @@
 
 // Apply implements blwatch.Handler.
 func (d *tableDaemon) Apply(now time.Time, entry basillift.RegistryEntry) {
-	if !d.adopt(entry) {
+	if !d.adopt(now, entry) {
 		applied := d.fleet.Apply(now, entry)
 		if isEvacuation(entry) {
 			d.logUnreadableEvacuation(entry)
@@ -326,8 +326,8 @@
 	line.AnErr("unusable", entry.Invalid()).Send()
 }
 
-// adopt adopts a routing table and reports whether the entry holds one.
-func (d *tableDaemon) adopt(entry basillift.RegistryEntry) bool {
+// adopt adopts a routing table and reports whether the entry holds one. received is when its answer had arrived.
+func (d *tableDaemon) adopt(received time.Time, entry basillift.RegistryEntry) bool {
 	table, ok := entry.RoutingSpec()
 	if !ok {
 		if entry.Invalid() != nil && !isEvacuation(entry) {
@@ -343,7 +343,8 @@
 		if d.cache != nil {
 			d.cache.Adopt(entry, d.tables.Current())
 		}
-		d.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).Send()
+		d.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).
+			Int64("after_ms", time.Since(received).Milliseconds()).Send()
 	case d.cache != nil:
 		d.cache.Observe(entry)
 	}
@@ -370,8 +371,8 @@
 }
 
 // RegistryRecovered implements blwatch.Handler.
-func (d *tableDaemon) RegistryRecovered(now time.Time, partitioned bool) {
-	if !partitioned {
+func (d *tableDaemon) RegistryRecovered(now time.Time, o blwatch.Outage) {
+	if !o.Partitioned() {
 		d.fleet.RegistryRecovered(now)
 	}
 	d.forwarder.Reconnected(now)
@@ -379,5 +380,6 @@
 		d.fallback.stop()
 		d.cache.SetRegistryDown(false)
 	}
-	d.log.Event(bllog.PlatformReturned()).Bool("cut", partitioned).Send()
+	d.log.Event(bllog.PlatformReturned()).Bool("cut", o.Partitioned()).
+		Int64("unanswered_ms", o.Unanswered().Milliseconds()).Int("failed_requests", o.Failures()).Send()
 }
