blwatch, blfeed, basilliftd: failing tests of a reader that stays behind or says that it does not

Cause: found while the class of the incident was looked for in what passes a revision, a table or an answer on.

- TestFollowerDoesNotBlockWatcher, TestWatcherAnswersWhileItAsksForFollowers: two locks are taken in both orders, so a reader with followers can stop for good and keep its table.
- TestChangeCountsOnceApplied: a revision is told to others before its changes are in force.

--- a/basillift/blfeed/cache_test.go
+++ b/basillift/blfeed/cache_test.go
@@ -47,6 +47,22 @@
 	return c
 }
 
+// Guards against a reader that stops for good: its watcher waits for its feed cache, and the cache for the watcher.
+func TestFollowerDoesNotBlockWatcher(t *testing.T) {
+	c := newTestCache(t)
+	c.SetLastAnswer(func() time.Time {
+		returned := make(chan bool, 1)
+		go func() { returned <- c.HasFollowers(start) }()
+		select {
+		case <-returned:
+		case <-time.After(testTimeout):
+			t.Error("the watcher cannot ask whether the daemon has followers")
+		}
+		return time.Now()
+	})
+	assertReply(t, c, changesSince(20, 20), basillift.FeedUnchanged)
+}
+
 // assertReply sends a request to a cache and checks the state and the entries of the response, each as key and
 // revision.
 func assertReply(t *testing.T, c *Cache, request basillift.FeedRequest, state basillift.FeedState, want ...string) {
--- a/basillift/blwatch/watcher_test.go
+++ b/basillift/blwatch/watcher_test.go
@@ -227,6 +227,54 @@
 	}
 }
 
+// Guards against a reader that stops for good: its feed cache asks for the last answer while the watcher asks for followers.
+func TestWatcherAnswersWhileItAsksForFollowers(t *testing.T) {
+	w := New(newSilentRegistry(), &recorder{}, rand.New(rand.NewSource(1)))
+	w.SetHasFollowers(func(time.Time) bool {
+		returned := make(chan time.Time, 1)
+		go func() { returned <- w.LastAnswer() }()
+		select {
+		case <-returned:
+		case <-time.After(30 * time.Second):
+			t.Error("the feed cache cannot ask for the last answer")
+		}
+		return true
+	})
+	w.next(time.Now())
+}
+
+// progressRecorder records what a watcher tells other parts while a change is being applied.
+type progressRecorder struct {
+	*recorder
+	watcher  *Watcher
+	revision basillift.Revision
+	answered time.Time
+}
+
+func (r *progressRecorder) Apply(now time.Time, e basillift.RegistryEntry) {
+	r.revision, r.answered = r.watcher.NewestRevision(), r.watcher.LastAnswer()
+	r.recorder.Apply(now, e)
+}
+
+// Guards against a reader that counts as current, with other daemons and in its own feed cache, before it has applied a change.
+func TestChangeCountsOnceApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		registry, handler := newSilentRegistry(), &progressRecorder{recorder: &recorder{appliedAt: make(map[basillift.Revision]time.Time)}}
+		w := New(registry, handler, rand.New(rand.NewSource(1)))
+		handler.watcher = w
+		is.NoErr(w.execute(t.Context(), w.next(time.Now())))
+		listed := time.Now()
+		time.Sleep(time.Second)
+		registry.change()
+		is.NoErr(w.execute(t.Context(), w.next(time.Now())))
+		is.True(handler.revision < registry.newest())
+		is.Equal(handler.answered, listed)
+		is.Equal(w.NewestRevision(), registry.newest())
+		is.Equal(w.LastAnswer(), time.Now())
+	})
+}
+
 // slowRegistry is a registry whose answers take longer to transfer than another daemon may be ahead.
 type slowRegistry struct{ *silentRegistry }
 
--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"math/rand"
 	"strings"
 	"testing"
@@ -20,21 +21,30 @@
 
 // newQuietDaemon returns a daemon that routes by table and has not been started, and its log.
 func newQuietDaemon(t *testing.T) (*tableDaemon, *bytes.Buffer) {
+	t.Helper()
+	out := &bytes.Buffer{}
+	return newLoggingDaemon(t, out), out
+}
+
+// newLoggingDaemon returns a daemon that routes by table and has not been started. It logs to out.
+func newLoggingDaemon(t *testing.T, out io.Writer) *tableDaemon {
 	t.Helper()
 	settings, err := blsettings.Parse([]byte(
 		`{"name":"vm1","domain":"a","service":"catalogue","routing":"table","caller":"127.0.0.1:1","mesh":"127.0.0.1:2","admin":"127.0.0.1:3","control":"127.0.0.1:7","ready":"127.0.0.1:4","target":"127.0.0.1:5","platform":"http://127.0.0.1:6"}`))
 	is.New(t).NoErr(err)
-	out := &bytes.Buffer{}
 	log, err := bllog.New(out, "info", "vm1")
 	is.New(t).NoErr(err)
 	d, err := buildTableDaemon("", settings, log)
 	is.New(t).NoErr(err)
-	return d, out
+	return d
 }
 
 // testTable returns a routing table with one route.
-func testTable() basillift.RegistryEntry {
-	return basillift.NewRegistryEntry(platform.KeyRouting, 1).WithRoutingSpec(basillift.NewRoutingSpec(1,
+func testTable() basillift.RegistryEntry { return testTableAt(1) }
+
+// testTableAt returns a routing table whose version is the number of its revision.
+func testTableAt(revision basillift.Revision) basillift.RegistryEntry {
+	return basillift.NewRegistryEntry(platform.KeyRouting, revision).WithRoutingSpec(basillift.NewRoutingSpec(revision.Number(),
 		[]basillift.Route{basillift.NewRoute("r", "h.example", "/", basillift.KindIdempotent, basillift.NewWeightedService("catalogue", 1))},
 		[]basillift.ServiceLimits{basillift.NewServiceLimits("catalogue", "/h", 10)}, basillift.ClientLimits{}))
 }
