blfeed, blwatch: neither cache nor watcher asks the other with its lock held

What callers saw: nothing in the record shows it. A reader that other daemons follow could stop for good: its table and targets no longer changed, and each request that tells or asks for the newest revision waited until its deadline.

Why it works: each side calls the other before it takes its lock. The last answer may be older by then, which only makes the cache more cautious.

--- a/basillift/blfeed/cache.go
+++ b/basillift/blfeed/cache.go
@@ -185,11 +185,13 @@
 
 // respond returns the response that is possible without waiting, and a channel that is closed at the next change.
 func (c *Cache) respond(now time.Time, request basillift.FeedRequest) (basillift.FeedResponse, <-chan struct{}) {
+	// The watcher asks the cache for followers while it answers, so it must not be asked with the mutex held.
+	registrySilent := c.lastAnswer != nil && now.Sub(c.lastAnswer()) > maxRegistryAnswerAge
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.lastRequest = now
 	state := c.state(request)
-	if state == basillift.FeedUnchanged && c.lastAnswer != nil && now.Sub(c.lastAnswer()) > maxRegistryAnswerAge {
+	if state == basillift.FeedUnchanged && registrySilent {
 		state = basillift.FeedStale
 	}
 	response := basillift.NewFeedResponse(state, c.completeRevision)
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -73,11 +73,11 @@
 }
 
 func (w *Watcher) next(now time.Time) Operation {
+	// The function may take locks under which LastAnswer is called, so it must not be called with the mutex held.
+	hasFollowers := w.hasFollowers != nil && w.hasFollowers(now)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.hasFollowers != nil {
-		w.state.SetHasFollowers(w.hasFollowers(now))
-	}
+	w.state.SetHasFollowers(hasFollowers)
 	return w.state.Next(now)
 }
 
