basilliftd: a listing reaches the feed cache before its table

What callers saw: nothing in the record. A follower of a reader that listed the registry could go on sending to a target that had left, until that target's entry changed again.

Cause: the table of a listing went into the feed cache first and raised the revision up to which the cache is complete. A follower that asked, or was woken, in between got the table and that revision without the changes of targets before it. If the table was the registry's last change, the follower counted as complete afterwards. That is likely where the registry drops its history while a target leaves and the table changes.

Evidence: TestFollowerGetsChangesOfListing asks at each line that the reader logs; it failed before and passes now.

Why it works: tables are passed on by version, so a table that comes after the listing is never skipped; the targets' changes, which are passed on by revision, are there before any revision covers them.

--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -290,12 +290,14 @@
 	// The targets come before the tables: the first table releases the waiting requests, which need targets.
 	current := d.fleet.Replace(now, revision, endpoints)
 	d.logEvacuations()
-	for _, entry := range tables {
-		d.adopt(now, entry)
-	}
 	if d.cache != nil {
+		// The cache passes on a table by its version, and everything else by revision. A table counts by its revision too, so it
+		// comes after the entries that are older.
 		d.cache.Replace(now, revision, current)
 	}
+	for _, entry := range tables {
+		d.adopt(now, entry)
+	}
 	d.forwarder.TargetsChanged(now)
 }
 
