blwatch: a revision is told to others once its changes are in force

What callers saw: nothing in the record. After a change of a large table, followers leave readers that are current for 2 s and list the whole registry; after an outage a follower may be told that nothing has changed by a reader that holds the changes and has not applied them.

Cause: the newest revision and the time of the last answer were raised when an answer arrived. Other daemons then asked this one for a revision that its feed cache did not have yet and took it for behind, and the cache itself counted as current with the state from before the outage.

How often followers left readers because of it was not measured.

Why it works: both are recorded after the handler has applied the answer, and not at all for an answer of another era, which applies nothing.

--- a/basillift/blwatch/era_test.go
+++ b/basillift/blwatch/era_test.go
@@ -51,6 +51,7 @@
 	t.Run("an empty answer of the next era", func(t *testing.T) {
 		s := watchingState(t, 1, 60)
 		s.Changed(start, basillift.NewRegistryPage(nil, at(t, 2, 60), ""))
+		is.New(t).True(!s.Current())
 		assertOperation(t, s.Next(start), OperationList, "", 0)
 	})
 	t.Run("late answers of the era before", func(t *testing.T) {
@@ -58,6 +59,7 @@
 		s := watchingState(t, 2, 50)
 		changes, _ := s.Changed(start, basillift.NewRegistryPage(entryAt(t, "b", 1, 70), at(t, 1, 70), ""))
 		is.Equal(len(changes), 0)
+		is.True(!s.Current())
 		assertOperation(t, s.Next(start), OperationChanges, "", at(t, 2, 50))
 		s.Failed(start, basillift.ErrCompacted)
 		_, complete, _ := s.Listed(start, basillift.NewRegistryPage(nil, at(t, 1, 70), ""))
--- a/basillift/blwatch/state.go
+++ b/basillift/blwatch/state.go
@@ -238,6 +238,9 @@
 	return true
 }
 
+// Current reports whether the last answer was complete and of the present era.
+func (s *WatchState) Current() bool { return s.listed && s.failures == 0 }
+
 // NewestRevision is the newest revision of any entry received so far.
 func (s *WatchState) NewestRevision() basillift.Revision { return s.newestRevision }
 
--- a/basillift/blwatch/watcher.go
+++ b/basillift/blwatch/watcher.go
@@ -32,7 +32,8 @@
 	RegistryRecovered(now time.Time, o Outage)
 }
 
-// Watcher reads the registry and passes its content and changes to a Handler. It implements basillift.RevisionGossip.
+// Watcher reads the registry and passes its content and changes to a Handler. It implements basillift.RevisionGossip: other daemons
+// are told of a revision once the handler has applied it.
 type Watcher struct {
 	registry basillift.Registry
 	handler  Handler
@@ -44,6 +45,10 @@
 	state *WatchState
 	// pending is the request for changes whose answer has not begun to arrive; nil if there is none.
 	pending *pendingWait
+	// appliedRevision and appliedAnswer are the newest revision of an entry and the time of the last answer that the handler has
+	// applied. Others are told these, as they rely on this daemon's holding what it says.
+	appliedRevision basillift.Revision
+	appliedAnswer   time.Time
 }
 
 // pendingWait is a request for changes.
@@ -51,7 +56,8 @@
 
 // New returns a watcher of a registry. rnd randomizes the pauses after failures.
 func New(registry basillift.Registry, handler Handler, rnd *rand.Rand) *Watcher {
-	return &Watcher{registry: registry, handler: handler, state: NewWatchState(time.Now(), rnd)}
+	now := time.Now()
+	return &Watcher{registry: registry, handler: handler, state: NewWatchState(now, rnd), appliedAnswer: now}
 }
 
 // SetHasFollowers sets the function that reports whether other daemons follow this one. It must be called before Run.
@@ -103,14 +109,24 @@
 func (w *Watcher) NewestRevision() basillift.Revision {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.state.NewestRevision()
+	return w.appliedRevision
 }
 
-// LastAnswer is the time of the registry's last answer.
+// LastAnswer is the time of the registry's last answer that the handler has applied.
 func (w *Watcher) LastAnswer() time.Time {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.state.lastAnswer
+	return w.appliedAnswer
+}
+
+// recordApplied records that the handler has applied the answer that arrived at the given time. An answer of another era applies
+// nothing.
+func (w *Watcher) recordApplied(answered time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.state.Current() {
+		w.appliedRevision, w.appliedAnswer = w.state.NewestRevision(), answered
+	}
 }
 
 // ObserveRevision implements basillift.RevisionGossip.
@@ -149,6 +165,7 @@
 	for _, e := range changes {
 		w.handler.Apply(now, e)
 	}
+	w.recordApplied(now)
 	return nil
 }
 
@@ -165,6 +182,7 @@
 	w.reportRecovery(now, recovered, outage)
 	if complete {
 		w.handler.Replace(now, revision, all)
+		w.recordApplied(now)
 	}
 	return nil
 }
