basilliftd: the first answer after an outage does not wait for requests to other daemons

What callers saw: nothing in the record. After an outage of the registry a reader kept its table until its requests for evacuations to other daemons had ended: up to the 150 ms that a connection may take to open, since that does not end with its context.

Cause: made the return of the registry stop the evacuation fallback and wait for it, in the goroutine that applies the answer.

Why it works: the return cancels the fallback and goes on; only the stop of the daemon waits. A new outage may begin while a canceled request has not ended. The log of the tests is written from two goroutines now, so its buffer has a lock.

--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,10 +20,36 @@
 	"basillift.dev/platform"
 )
 
+// logBuffer holds the log of a daemon. It is safe for concurrent use.
+type logBuffer struct {
+	mutex sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.lines.Write(line)
+}
+
+func (b *logBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.lines.String()
+}
+
+// Reset removes all lines.
+func (b *logBuffer) Reset() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.lines.Reset()
+}
+
 // newQuietDaemon returns a daemon that routes by table and has not been started, and its log.
-func newQuietDaemon(t *testing.T) (*tableDaemon, *bytes.Buffer) {
+func newQuietDaemon(t *testing.T) (*tableDaemon, *logBuffer) {
 	t.Helper()
-	out := &bytes.Buffer{}
+	out := &logBuffer{}
 	return newLoggingDaemon(t, out), out
 }
 
@@ -42,6 +69,12 @@
 // testTable returns a routing table with one route.
 func testTable() basillift.RegistryEntry { return testTableAt(1) }
 
+// neighborEntry returns the entry of the target of another VM, in failure domain b.
+func neighborEntry() basillift.RegistryEntry {
+	return basillift.NewRegistryEntry("servers/i2", 3).WithEndpoint(
+		basillift.NewEndpoint("i2", "catalogue", "127.0.0.2:5", "b", 4, basillift.TargetReady).WithDaemon("127.0.0.2:2"))
+}
+
 // testTableAt returns a routing table whose version is the number of its revision.
 func testTableAt(revision basillift.Revision) basillift.RegistryEntry {
 	return basillift.NewRegistryEntry(platform.KeyRouting, revision).WithRoutingSpec(basillift.NewRoutingSpec(revision.Number(),
@@ -59,7 +92,7 @@
 	table := testTable()
 	target := basillift.NewRegistryEntry("servers/i1", 2).WithEndpoint(
 		basillift.NewEndpoint("i1", "catalogue", "127.0.0.1:5", "a", 4, basillift.TargetReady).WithDaemon("127.0.0.1:2"))
-	assertState := func(t *testing.T, d *tableDaemon, out *bytes.Buffer, evacuated bool, events ...string) {
+	assertState := func(t *testing.T, d *tableDaemon, out *logBuffer, evacuated bool, events ...string) {
 		t.Helper()
 		is := is.New(t)
 		_, known := d.fleet.Evacuated("a")
@@ -126,10 +159,8 @@
 		is := is.New(t)
 		d, _ := newQuietDaemon(t)
 		other, _ := newQuietDaemon(t)
-		neighbor := basillift.NewRegistryEntry("servers/i2", 3).WithEndpoint(
-			basillift.NewEndpoint("i2", "catalogue", "127.0.0.2:5", "b", 4, basillift.TargetReady).WithDaemon("127.0.0.2:2"))
 		for _, each := range []*tableDaemon{d, other} {
-			each.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighbor})
+			each.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighborEntry()})
 		}
 		d.fallback = newEvacuationFallback(d, cacheClient{other.cache}, 1)
 		lose(d)
@@ -146,6 +177,7 @@
 		is.New(t).Equal(d.cache.ServeFeed(context.Background(), basillift.NewFeedRequest(0, 0)).State(), basillift.FeedStale)
 		d.RegistryRecovered(now, blwatch.NewOutage(time.Second, 2, true))
 		is.New(t).True(d.fallback.cancel == nil)
+		d.fallback.stop()
 	})
 	t.Run("registry silent", func(t *testing.T) {
 		d := assertLearns(t, func(d *tableDaemon) { d.WaitFailed(now, time.Second, basillift.ErrUnavailable) })
--- a/basilliftd/evacuationfallback.go
+++ b/basilliftd/evacuationfallback.go
@@ -25,7 +25,7 @@
 	rnd      *rand.Rand
 
 	mutex sync.Mutex
-	// cancel ends the loop; nil while there is none.
+	// cancel ends what start began; nil if that has ended. Requests that do not end at once may outlive it.
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
 }
@@ -48,31 +48,37 @@
 	e.cancel = cancel
 	watcher := blwatch.New(e.registry, e, rand.New(rand.NewSource(e.rnd.Int63())))
 	e.tasks.Go(func() { _ = watcher.Run(ctx) })
-	e.tasks.Go(func() { e.loop(ctx, cancel, time.Now()) })
+	e.tasks.Go(func() { e.loop(ctx, time.Now()) })
 }
 
 // loop ends what start began once the registry has answered again: a single lost answer is no outage whose end is reported.
-func (e *evacuationFallback) loop(ctx context.Context, cancel context.CancelFunc, started time.Time) {
+func (e *evacuationFallback) loop(ctx context.Context, started time.Time) {
 	for blwait.For(ctx, fallbackInterval) {
 		if e.daemon.watcher.LastAnswer().After(started) {
-			cancel()
+			e.end(ctx)
 		}
 	}
+}
+
+// end ends what start began with a context, unless it has ended already.
+func (e *evacuationFallback) end(ctx context.Context) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.cancel = nil
+	if ctx.Err() == nil && e.cancel != nil {
+		e.cancel()
+		e.cancel = nil
+	}
 }
 
-// stop ends what start began. It does nothing for a nil receiver, as a follower has no fallback.
+// registryRecovered ends what start began, without waiting for requests to other daemons.
+func (e *evacuationFallback) registryRecovered() { e.end(context.Background()) }
+
+// stop ends what start began and waits until it has ended. It does nothing for a nil receiver, as a follower has no fallback.
 func (e *evacuationFallback) stop() {
 	if e == nil {
 		return
 	}
-	e.mutex.Lock()
-	if e.cancel != nil {
-		e.cancel()
-	}
-	e.mutex.Unlock()
+	e.registryRecovered()
 	e.tasks.Wait()
 }
 
--- a/basilliftd/reader_test.go
+++ b/basilliftd/reader_test.go
@@ -62,9 +62,7 @@
 func TestReturnOfRegistryDoesNotWaitForOtherDaemons(t *testing.T) {
 	now := time.Now()
 	d, _ := newQuietDaemon(t)
-	neighbor := basillift.NewRegistryEntry("servers/i2", 3).WithEndpoint(
-		basillift.NewEndpoint("i2", "catalogue", "127.0.0.2:5", "b", 4, basillift.TargetReady).WithDaemon("127.0.0.2:2"))
-	d.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighbor})
+	d.Replace(now, 10, []basillift.RegistryEntry{testTable(), neighborEntry()})
 	client := stuckClient{make(chan struct{}, 1), make(chan struct{})}
 	d.fallback = newEvacuationFallback(d, client, 1)
 	d.RegistryDown(now, basillift.ErrUnavailable)
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -379,7 +379,7 @@
 	}
 	d.forwarder.Reconnected(now)
 	if d.cache != nil {
-		d.fallback.stop()
+		d.fallback.registryRecovered()
 		d.cache.SetRegistryDown(false)
 	}
 	d.log.Event(bllog.PlatformReturned()).Bool("cut", o.Partitioned()).
