basilliftd: readers without the registry take newer tables from other readers

What callers saw: a VM that the registry turned away, or left unanswered, went on routing by its old table for as long as that lasted, though all other VMs had the new one.

Cause: a reader takes its table from the registry alone. Followers have had another way from the beginning, and evacuations since.

Change: the fallback that asked other readers for evacuations also adopts their newer tables. They serve the reader's own requests and stay out of its feed cache, so readers do not follow each other in a circle. When the registry gives the same table later, the cache takes it, although it is in force already.

--- a/basillift/blfeed/cache.go
+++ b/basillift/blfeed/cache.go
@@ -74,15 +74,18 @@
 // answering some time before it is reported as down. It must be called before the first use.
 func (c *Cache) SetLastAnswer(answered func() time.Time) { c.lastAnswer = answered }
 
-// Adopt adds the newest table, together with the key and revision under which the registry holds it.
+// Adopt adds a table, together with the key and revision under which the registry holds it. Of a table that is not newer than the
+// cached ones, only the revision counts.
 func (c *Cache) Adopt(e basillift.RegistryEntry, t *bltable.Table) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.tables = append(c.tables, t)
-	if len(c.tables) > maxTables {
-		c.tables = slices.Clone(c.tables[1:])
+	if len(c.tables) == 0 || t.Version() > c.newestTable().Version() {
+		c.tables = append(c.tables, t)
+		if len(c.tables) > maxTables {
+			c.tables = slices.Clone(c.tables[1:])
+		}
+		c.tableEntry = basillift.NewRegistryEntry(e.Key(), e.Revision())
 	}
-	c.tableEntry = basillift.NewRegistryEntry(e.Key(), e.Revision())
 	c.observe(e.Revision())
 	c.notifyWaiters()
 }
--- a/basilliftd/evacuationfallback.go
+++ b/basilliftd/feedfallback.go
@@ -16,10 +16,10 @@
 // current. An evacuation has to be known within 5 s.
 const fallbackInterval = time.Second
 
-// evacuationFallback lets a reader learn of evacuations from other readers while the registry does not answer it: the registry may
-// be closed to this VM only. It takes nothing else from them. The reader's own feed cache stays behind meanwhile, so that readers
-// do not follow each other in a circle.
-type evacuationFallback struct {
+// feedFallback lets a reader learn of evacuations and newer routing tables from other readers while the registry does not answer it:
+// the registry may be closed to this VM only. It takes nothing else from them. The reader's own feed cache stays behind meanwhile, so
+// that readers do not follow each other in a circle.
+type feedFallback struct {
 	daemon   *tableDaemon
 	registry *blfeed.FollowerRegistry
 	rnd      *rand.Rand
@@ -30,83 +30,93 @@
 	tasks  sync.WaitGroup
 }
 
-func newEvacuationFallback(d *tableDaemon, client basillift.FeedClient, seed int64) *evacuationFallback {
+func newFeedFallback(d *tableDaemon, client basillift.FeedClient, seed int64) *feedFallback {
 	readers := blfeed.NewReaderSelector(d.settings.Addresses().Mesh())
-	return &evacuationFallback{
+	return &feedFallback{
 		daemon: d, registry: blfeed.NewFollowerRegistry(lostRegistry{}, client, readers, d.tables, d.neighbors), rnd: rand.New(rand.NewSource(seed)),
 	}
 }
 
 // start begins to ask other daemons, unless that has begun already.
-func (e *evacuationFallback) start() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.cancel != nil {
+func (f *feedFallback) start() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.cancel != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
-	watcher := blwatch.New(e.registry, e, rand.New(rand.NewSource(e.rnd.Int63())))
-	e.tasks.Go(func() { _ = watcher.Run(ctx) })
-	e.tasks.Go(func() { e.loop(ctx, time.Now()) })
+	f.cancel = cancel
+	watcher := blwatch.New(f.registry, f, rand.New(rand.NewSource(f.rnd.Int63())))
+	f.tasks.Go(func() { _ = watcher.Run(ctx) })
+	f.tasks.Go(func() { f.loop(ctx, time.Now()) })
 }
 
 // loop ends what start began once the registry has answered again: a single lost answer is no outage whose end is reported.
-func (e *evacuationFallback) loop(ctx context.Context, started time.Time) {
+func (f *feedFallback) loop(ctx context.Context, started time.Time) {
 	for blwait.For(ctx, fallbackInterval) {
-		if e.daemon.watcher.LastAnswer().After(started) {
-			e.end(ctx)
+		if f.daemon.watcher.LastAnswer().After(started) {
+			f.end(ctx)
 		}
 	}
 }
 
 // end ends what start began with a context, unless it has ended already.
-func (e *evacuationFallback) end(ctx context.Context) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if ctx.Err() == nil && e.cancel != nil {
-		e.cancel()
-		e.cancel = nil
+func (f *feedFallback) end(ctx context.Context) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if ctx.Err() == nil && f.cancel != nil {
+		f.cancel()
+		f.cancel = nil
 	}
 }
 
 // registryRecovered ends what start began, without waiting for requests to other daemons.
-func (e *evacuationFallback) registryRecovered() { e.end(context.Background()) }
+func (f *feedFallback) registryRecovered() { f.end(context.Background()) }
 
 // stop ends what start began and waits until it has ended. It does nothing for a nil receiver, as a follower has no fallback.
-func (e *evacuationFallback) stop() {
-	if e == nil {
+func (f *feedFallback) stop() {
+	if f == nil {
 		return
 	}
-	e.registryRecovered()
-	e.tasks.Wait()
+	f.registryRecovered()
+	f.tasks.Wait()
 }
 
 // Replace implements blwatch.Handler.
-func (e *evacuationFallback) Replace(now time.Time, revision basillift.Revision, all []basillift.RegistryEntry) {
-	e.daemon.fleet.ReplaceEvacuations(now, revision, all)
-	e.daemon.logEvacuations()
-	e.daemon.forwarder.TargetsChanged(now)
+func (f *feedFallback) Replace(now time.Time, revision basillift.Revision, all []basillift.RegistryEntry) {
+	f.daemon.fleet.ReplaceEvacuations(now, revision, all)
+	f.daemon.logEvacuations()
+	for _, entry := range all {
+		if table, ok := entry.RoutingSpec(); ok {
+			f.daemon.adoptRelayed(now, table)
+		}
+	}
+	f.daemon.forwarder.TargetsChanged(now)
 }
 
 // Apply implements blwatch.Handler.
-func (e *evacuationFallback) Apply(now time.Time, entry basillift.RegistryEntry) {
-	if !isEvacuation(entry) {
+func (f *feedFallback) Apply(now time.Time, entry basillift.RegistryEntry) {
+	table, isTable := entry.RoutingSpec()
+	switch {
+	case isTable:
+		f.daemon.adoptRelayed(now, table)
+	case isEvacuation(entry):
+		f.daemon.fleet.Apply(now, entry)
+		f.daemon.logEvacuations()
+	default:
 		return
 	}
-	e.daemon.fleet.Apply(now, entry)
-	e.daemon.logEvacuations()
-	e.daemon.forwarder.TargetsChanged(now)
+	f.daemon.forwarder.TargetsChanged(now)
 }
 
 // WaitFailed implements blwatch.Handler.
-func (e *evacuationFallback) WaitFailed(time.Time, time.Duration, error) {}
+func (f *feedFallback) WaitFailed(time.Time, time.Duration, error) {}
 
 // RegistryDown implements blwatch.Handler.
-func (e *evacuationFallback) RegistryDown(time.Time, error) {}
+func (f *feedFallback) RegistryDown(time.Time, error) {}
 
 // RegistryRecovered implements blwatch.Handler.
-func (e *evacuationFallback) RegistryRecovered(time.Time, blwatch.Outage) {}
+func (f *feedFallback) RegistryRecovered(time.Time, blwatch.Outage) {}
 
 // lostRegistry stands for the registry that does not answer.
 type lostRegistry struct{}
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -60,7 +60,7 @@
 	evacuations evacuationLog
 	// cache and fallback are nil for a follower.
 	cache    *blfeed.Cache
-	fallback *evacuationFallback
+	fallback *feedFallback
 	admin    *bladmin.Server
 	// metrics holds the daemon's own metrics, beside those of the forwarder.
 	metrics     *metrics.Set
@@ -141,7 +141,7 @@
 		d.cache.SetLastAnswer(d.watcher.LastAnswer)
 		d.watcher.SetHasFollowers(d.cache.HasFollowers)
 		d.forwarder.SetFeedServer(d.cache)
-		d.fallback = newEvacuationFallback(d, d.forwarder, rnd.Int63())
+		d.fallback = newFeedFallback(d, d.forwarder, rnd.Int63())
 		d.forwarder.SetRevisionGossip(revisionFanOut{d.watcher, d.fallback.registry})
 		return
 	}
@@ -338,19 +338,41 @@
 		return false
 	}
 	adopted, err := d.tables.Adopt(table)
+	if err == nil && d.cache != nil {
+		d.cacheTable(entry, table)
+	}
+	d.logTable(received, table, adopted, err)
+	return true
+}
+
+// adoptRelayed adopts a routing table of which another daemon has told while the registry does not answer. It is not passed on.
+func (d *tableDaemon) adoptRelayed(received time.Time, table basillift.RoutingSpec) {
+	adopted, err := d.tables.Adopt(table)
+	d.logTable(received, table, adopted, err)
+}
+
+// logTable logs whether a table is in force now, or why it is refused.
+func (d *tableDaemon) logTable(received time.Time, table basillift.RoutingSpec, adopted bool, err error) {
 	switch {
 	case err != nil:
 		d.log.Event(bllog.VersionRefused()).Uint64("version", table.Version()).Err(err).Send()
 	case adopted:
-		if d.cache != nil {
-			d.cache.Adopt(entry, d.tables.Current())
-		}
 		d.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).
 			Int64("after_ms", time.Since(received).Milliseconds()).Send()
-	case d.cache != nil:
-		d.cache.Observe(entry)
 	}
-	return true
+}
+
+// cacheTable passes a table of the registry on to followers. Other daemons may have told of it, or of a newer one, before.
+func (d *tableDaemon) cacheTable(entry basillift.RegistryEntry, spec basillift.RoutingSpec) {
+	table := d.tables.Current()
+	if table.Version() != spec.Version() {
+		var err error
+		if table, err = bltable.Build(spec); err != nil {
+			d.cache.Observe(entry)
+			return
+		}
+	}
+	d.cache.Adopt(entry, table)
 }
 
 // WaitFailed implements blwatch.Handler.
