basilliftd: limits of the process by flags or environment; the settings template needs none

Cause: deploy/daemon.json names limits.memoryMb and limits.maxFds since the budgets for memory and connections.

The settings come first where they name a limit. Without either, the memory counts as 144 MB, of which peers may use 48 MB as before, and the heap limit of the collector follows from it (it had none); descriptors count as 4,096 or the soft limit of the process. A number that can't be read is refused at the start. Event 100 names the budgets in force.

--- a/basillift/blsettings/file_gen.go
+++ b/basillift/blsettings/file_gen.go
@@ -20,8 +20,10 @@
 	// IP address and port for control messages between daemons.
 	Control string `json:"control"`
 
-	// File descriptors that the process may use; 0 if it is not known. Bounds the
-	// connections that the daemon accepts.
+	// File descriptors that the process may use; 0 for what the flag --descriptors or
+	// the environment (BASILLIFT_DESCRIPTORS) says, and 4,096, or fewer if the
+	// process may not open so many, if neither is known. Bounds the connections that
+	// the daemon accepts.
 	Descriptors int `json:"descriptors,omitempty,omitzero"`
 
 	// Failure domain of the VM.
@@ -51,8 +53,9 @@
 	// Longest deadline in ms that a caller may ask for.
 	Longest int `json:"longest,omitempty,omitzero"`
 
-	// Memory in MB that the process may use; 0 if it is not known. Bounds what
-	// callers and other daemons can make the daemon hold.
+	// Memory in MB that the process may use; 0 for what the flag --memory or the
+	// environment (BASILLIFT_MEMORY) says, and 144 MB if neither is known. Bounds
+	// what callers and other daemons can make the daemon hold.
 	Memory int `json:"memory,omitempty,omitzero"`
 
 	// IP address and port for calls from other daemons.
--- a/basilliftd/evacuation_test.go
+++ b/basilliftd/evacuation_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/blfeed"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blsettings"
@@ -21,6 +22,9 @@
 	"basillift.dev/platform"
 )
 
+// tableSettings are the settings of a daemon that routes by table, without the last brace.
+const tableSettings = `{"name":"vm1","domain":"a","service":"catalogue","routing":"table","caller":"127.0.0.1:1","mesh":"127.0.0.1:2","admin":"127.0.0.1:3","control":"127.0.0.1:7","ready":"127.0.0.1:4","target":"127.0.0.1:5","platform":"http://127.0.0.1:6"`
+
 // logBuffer holds the log of a daemon. It is safe for concurrent use.
 type logBuffer struct {
 	mutex sync.Mutex
@@ -57,12 +61,11 @@
 // newLoggingDaemon returns a daemon that routes by table and has not been started. It logs to out.
 func newLoggingDaemon(t *testing.T, out io.Writer) *tableDaemon {
 	t.Helper()
-	settings, err := blsettings.Parse([]byte(
-		`{"name":"vm1","domain":"a","service":"catalogue","routing":"table","caller":"127.0.0.1:1","mesh":"127.0.0.1:2","admin":"127.0.0.1:3","control":"127.0.0.1:7","ready":"127.0.0.1:4","target":"127.0.0.1:5","platform":"http://127.0.0.1:6"}`))
+	settings, err := blsettings.Parse([]byte(tableSettings + "}"))
 	is.New(t).NoErr(err)
 	log, err := bllog.New(out, "info", "vm1")
 	is.New(t).NoErr(err)
-	d, err := buildTableDaemon("", settings, log)
+	d, err := buildTableDaemon("", settings, blbudget.NewLimits(defaultMemoryMB, defaultDescriptors), log)
 	is.New(t).NoErr(err)
 	return d
 }
--- a/basilliftd/main.go
+++ b/basilliftd/main.go
@@ -22,6 +22,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog/diode"
 
+	"basillift.dev/basillift/blbudget"
 	"basillift.dev/basillift/bllog"
 	"basillift.dev/basillift/blsettings"
 )
@@ -43,6 +44,7 @@
 	Check     bool   `long:"check" description:"check the settings and exit"`
 	Reference bool   `long:"reference" description:"print the page docs/settings.md and exit"`
 	Events    bool   `long:"events" description:"print the page docs/events.md and exit"`
+	processFlags
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -77,7 +79,7 @@
 		fmt.Println("settings ok")
 		return exitOK
 	}
-	return serve(o.Settings, settings)
+	return serve(o.Settings, settings, o.limits(settings, openableDescriptors()))
 }
 
 func printReference() int {
@@ -90,7 +92,7 @@
 	return exitOK
 }
 
-func serve(path string, settings blsettings.Settings) int {
+func serve(path string, settings blsettings.Settings, limits blbudget.Limits) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	// Logging never blocks on the reader of the log. Lines that do not fit into the buffer are dropped and counted.
@@ -103,7 +105,7 @@
 		fmt.Fprintln(os.Stderr, "basilliftd:", err)
 		return exitSettings
 	}
-	err = runDaemon(ctx, path, settings, log)
+	err = runDaemon(ctx, path, settings, limits, log)
 	switch {
 	case err == nil:
 		return exitOK
@@ -117,9 +119,9 @@
 }
 
 // runDaemon builds and runs the kind of daemon that the settings select.
-func runDaemon(ctx context.Context, path string, settings blsettings.Settings, log *bllog.Logger) error {
+func runDaemon(ctx context.Context, path string, settings blsettings.Settings, limits blbudget.Limits, log *bllog.Logger) error {
 	if settings.Routing() == blsettings.RoutingTable {
-		d, err := buildTableDaemon(path, settings, log)
+		d, err := buildTableDaemon(path, settings, limits, log)
 		if err != nil {
 			return err
 		}
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -50,6 +50,7 @@
 type tableDaemon struct {
 	settingsPath string
 	settings     blsettings.Settings
+	limits       blbudget.Limits
 	log          *bllog.Logger
 	tables       *bltable.Holder
 	fleet        *blfleet.Fleet
@@ -70,10 +71,11 @@
 }
 
 // buildTableDaemon builds the daemon that routes by the routing table, with all its parts.
-func buildTableDaemon(path string, settings blsettings.Settings, log *bllog.Logger) (*tableDaemon, error) {
+func buildTableDaemon(path string, settings blsettings.Settings, limits blbudget.Limits, log *bllog.Logger) (*tableDaemon, error) {
 	c := dig.New()
 	constructors := []any{
 		func() blsettings.Settings { return settings },
+		func() blbudget.Limits { return limits },
 		func() *bllog.Logger { return log },
 		func() *rand.Rand { return rand.New(rand.NewSource(time.Now().UnixNano())) },
 		bltable.NewHolder, blfleet.New, newRegistry, newForwarder, newTableDaemon,
@@ -98,22 +100,22 @@
 	return store, nil
 }
 
-func newForwarder(s blsettings.Settings, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *blforwarder.Forwarder {
+func newForwarder(s blsettings.Settings, limits blbudget.Limits, tables *bltable.Holder, fleet *blfleet.Fleet, log *bllog.Logger, rnd *rand.Rand) *blforwarder.Forwarder {
 	settings := blforwarder.NewSettings(s.Caller(), s.Addresses().Mesh(), s.ReadyAddress()).
 		WithTarget(s.Target(), s.Service(), s.Place().FailureDomain()).
 		WithHeaderNames(platform.HeaderNames()).
 		WithRetryAllowance(s.RetryShare(), s.RetryAllowance()).
 		WithDrainPeriod(s.LeavingPeriod()).
 		WithSlowLink(hasSlowLink(s)).
-		WithLimits(blbudget.NewLimits(s.MemoryMB(), s.Descriptors()))
+		WithLimits(limits)
 	return blforwarder.New(settings, tables, fleet, log, rnd)
 }
 
-func newTableDaemon(s blsettings.Settings, l *bllog.Logger, tables *bltable.Holder, fleet *blfleet.Fleet,
+func newTableDaemon(s blsettings.Settings, limits blbudget.Limits, l *bllog.Logger, tables *bltable.Holder, fleet *blfleet.Fleet,
 	forwarder *blforwarder.Forwarder, registry basillift.Registry, rnd *rand.Rand,
 ) *tableDaemon {
 	d := &tableDaemon{
-		settings: s, log: l, tables: tables, fleet: fleet, forwarder: forwarder, failed: make(chan error, 3),
+		settings: s, limits: limits, log: l, tables: tables, fleet: fleet, forwarder: forwarder, failed: make(chan error, 3),
 	}
 	d.setUpRegistry(registry, rand.New(rand.NewSource(rnd.Int63())))
 	d.setUpMetrics()
@@ -173,9 +175,7 @@
 // run serves until ctx ends or a part fails, and then shuts down gracefully.
 func (d *tableDaemon) run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
-	if heapBytes := blbudget.NewLimits(d.settings.MemoryMB(), d.settings.Descriptors()).HeapBytes(); heapBytes > 0 {
-		debug.SetMemoryLimit(heapBytes)
-	}
+	debug.SetMemoryLimit(d.limits.HeapBytes())
 	if err := d.forwarder.Listen(); err != nil {
 		return fmt.Errorf("forwarder: %w", errors.Join(errListen, err))
 	}
@@ -187,7 +187,8 @@
 	defer cancel()
 	d.start(func() error { return d.forwarder.Run(serveCtx) })
 	d.start(func() error { return d.watcher.Run(serveCtx) })
-	d.log.Event(bllog.Started()).Str("domain", string(d.settings.Place().FailureDomain())).Send()
+	d.log.Event(bllog.Started()).Str("domain", string(d.settings.Place().FailureDomain())).
+		Int64("peer_memory_bytes", d.limits.PeerBytes()).Int("connections", d.limits.Connections()).Send()
 	d.start(func() error { return d.admin.Run(admin) })
 	d.start(func() error { d.watchSettings(serveCtx); return nil })
 	select {
