blfleet: an entry of an unknown service hides no target (CONFIG)

Cause: of two entries with one address the newer revision won. An entry from another writer with a service that no table names hid the target at its address.

Change: the fleet knows the services of the table in force; an entry of another service loses against one of these.

--- a/basillift/blfleet/fleet.go
+++ b/basillift/blfleet/fleet.go
@@ -67,6 +67,8 @@
 	evacuations evacuations
 	graceEnd    time.Time
 	recoveredAt time.Time
+	// services holds the services of the routing table; nil before the first one.
+	services map[string]bool
 	// era is the era of the registry in the last complete listing.
 	era     uint64
 	current atomic.Pointer[snapshot]
@@ -114,6 +116,18 @@
 	f.recoveredAt, f.graceEnd = now, now.Add(recoveryGrace)
 }
 
+// SetServices sets the services of the routing table in force. An entry that names another service may come from another writer than
+// the target at its address.
+func (f *Fleet) SetServices(services []basillift.ServiceLimits) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.services = make(map[string]bool, len(services))
+	for _, s := range services {
+		f.services[s.Name()] = true
+	}
+	f.updateSnapshot()
+}
+
 // Apply applies one change. It ignores a change that is older than the known entry, and returns false for it.
 func (f *Fleet) Apply(now time.Time, entry basillift.RegistryEntry) bool {
 	f.mutex.Lock()
@@ -249,7 +263,7 @@
 	s.evacuations, s.evacuationEnds = f.evacuations.byDomain()
 	for _, r := range f.entries {
 		address := r.target.endpoint.Address()
-		if current := s.entryByAddress[address]; current == nil || r.supersedes(current) {
+		if current := s.entryByAddress[address]; current == nil || f.supersedes(r, current) {
 			s.entryByAddress[address] = r
 		}
 	}
@@ -294,12 +308,16 @@
 	}
 }
 
-// supersedes decides which of two entries with the same address is used. A removed entry loses against any other, and
-// so does one that is only kept because the registry may have lost it; otherwise the newer revision wins.
-func (r *trackedEntry) supersedes(o *trackedEntry) bool {
+// supersedes decides which of two entries with the same address is used. A removed entry loses against any other, one of an unknown
+// service against one of a service of the routing table, and one that is only kept because the registry may have lost it against
+// one that is present; otherwise the newer revision wins.
+func (f *Fleet) supersedes(r, o *trackedEntry) bool {
 	if r.removedAt.IsZero() != o.removedAt.IsZero() {
 		return r.removedAt.IsZero()
 	}
+	if known := f.services[r.target.endpoint.Service()]; f.services != nil && known != f.services[o.target.endpoint.Service()] {
+		return known
+	}
 	if r.missing != o.missing {
 		return o.missing
 	}
--- a/basillift/blfleet/fleet_test.go
+++ b/basillift/blfleet/fleet_test.go
@@ -43,6 +43,28 @@
 	}
 }
 
+// Guards against a service without targets, since another writer has put entries of an unknown service at their addresses.
+func TestEntryOfUnknownServiceHidesNoTarget(t *testing.T) {
+	other := func(revision basillift.Revision, service string) basillift.RegistryEntry {
+		return basillift.NewRegistryEntry("i9", revision).WithEndpoint(basillift.NewEndpoint("i9", service, "x:1", "a", 9, basillift.TargetReady))
+	}
+	services := func(names ...string) (all []basillift.ServiceLimits) {
+		for _, name := range names {
+			all = append(all, basillift.NewServiceLimits(name, "/h", 10))
+		}
+		return all
+	}
+	f := New()
+	f.SetServices(services("catalogue", "orders"))
+	f.Apply(start, ready("i1", 1, "x:1"))
+	f.Apply(start, other(2, "nowhere"))
+	assertTargets(t, f, "i1")
+	f.Apply(start, other(3, "orders"))
+	assertTargets(t, f)
+	f.SetServices(services("catalogue"))
+	assertTargets(t, f, "i1")
+}
+
 func TestChanges(t *testing.T) {
 	t.Run("a draining target is not used", func(t *testing.T) {
 		f := New()
--- a/basilliftd/tabledaemon.go
+++ b/basilliftd/tabledaemon.go
@@ -59,6 +59,8 @@
 	// revision is that of the last complete listing. Only the watcher's goroutine uses it.
 	revision    basillift.Revision
 	evacuations evacuationLog
+	// servicesMutex guards the order in which services reach the fleet.
+	servicesMutex sync.Mutex
 	// cache and fallback are nil for a follower.
 	cache    *blfeed.Cache
 	fallback *feedFallback
@@ -342,27 +344,35 @@
 	if err == nil && d.cache != nil {
 		d.cacheTable(entry, table)
 	}
-	d.logTable(received, table, adopted, err)
+	d.finishAdoption(received, table, adopted, err)
 	return true
 }
 
 // adoptRelayed adopts a routing table of which another daemon has told while the registry does not answer. It is not passed on.
 func (d *tableDaemon) adoptRelayed(received time.Time, table basillift.RoutingSpec) {
 	adopted, err := d.tables.Adopt(table)
-	d.logTable(received, table, adopted, err)
+	d.finishAdoption(received, table, adopted, err)
 }
 
-// logTable logs whether a table is in force now, or why it is refused.
-func (d *tableDaemon) logTable(received time.Time, table basillift.RoutingSpec, adopted bool, err error) {
+// finishAdoption passes a table that is in force now on to the fleet. It logs that, or why the table is refused.
+func (d *tableDaemon) finishAdoption(received time.Time, table basillift.RoutingSpec, adopted bool, err error) {
 	switch {
 	case err != nil:
 		d.log.Event(bllog.VersionRefused()).Uint64("version", table.Version()).Err(err).Send()
 	case adopted:
+		d.passServices()
 		d.log.Event(bllog.VersionApplied()).Uint64("version", table.Version()).Int("routes", len(table.Routes())).
 			Int64("after_ms", time.Since(received).Milliseconds()).Send()
 	}
 }
 
+// passServices tells the fleet the services of the table in force. The mutex keeps an older table from coming last.
+func (d *tableDaemon) passServices() {
+	d.servicesMutex.Lock()
+	defer d.servicesMutex.Unlock()
+	d.fleet.SetServices(d.tables.Current().RoutingSpec().Services())
+}
+
 // cacheTable passes a table of the registry on to followers. Other daemons may have told of it, or of a newer one, before.
 func (d *tableDaemon) cacheTable(entry basillift.RegistryEntry, spec basillift.RoutingSpec) {
 	table := d.tables.Current()
