--- a/basillift/blforwarder/callerheader.go
+++ b/basillift/blforwarder/callerheader.go
@@ -29,7 +29,7 @@
 func (c *callerSide) requestHeader(rr *routedRequest, now time.Time) []byte {
 	names := c.forwarder.settings.headerNames
 	b := appendRequestLine(nil, rr.request)
-	b = appendFields(b, rr.request, names.Caller(), names.Instance())
+	b = appendFields(b, rr.request, names, names.Caller(), names.Instance())
 	b = appendField(b, names.Caller(), c.forwarder.settings.service)
 	metadata := rr.metadata
 	metadata.newestRevision = c.forwarder.gossip.NewestRevision()
--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -28,7 +28,7 @@
 			m := startMesh(t, f, other)
 			c := m.dial(t, tc.caller)
 			c.send("GET /get//a%2Fb/./c?x=%20&y HTTP/1.1\r\nhost: shop.example\r\nX-ID: 1\r\nX-Deadline: 500\r\nx-CaSe: Kept\r\n" +
-				"X-Caller: forged\r\nBasillift-Hop: forged\r\nX-Instance: forged\r\nConnection: X-Drop\r\nX-Drop: 1\r\n\r\n")
+				"X-Caller: forged\r\nBasillift-Hop: forged\r\nX-Instance: forged\r\nConnection: X-Drop, X-Caller, X-Id, X-Deadline\r\nX-Drop: 1\r\n\r\n")
 			c.assertAnswer(http.StatusOK, "")
 			target := f
 			if f.count("1") == 0 {
@@ -38,6 +38,7 @@
 			is.True(strings.HasPrefix(head, "GET /get//a%2Fb/./c?x=%20&y HTTP/1.1\r\n"))
 			is.True(strings.Contains(head, "\r\nx-CaSe: Kept"))
 			is.True(strings.Contains(head, "\r\nX-Caller: catalogue"))
+			is.True(strings.Contains(head, "\r\nX-ID: 1"))
 			is.True(strings.Contains(head, "\r\nX-Instance: i"))
 			is.True(!strings.Contains(head, "forged"))
 			is.True(!strings.Contains(head, "X-Drop"))
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -283,7 +283,7 @@
 func (t *targetSide) requestHeader(r *request, meta requestMetadata, now time.Time) []byte {
 	names := t.forwarder.settings.headerNames
 	b := appendRequestLine(nil, r)
-	b = appendFields(b, r, names.Deadline(), names.Instance())
+	b = appendFields(b, r, names, names.Deadline(), names.Instance())
 	timeoutMillis := max(1, meta.deadline.Sub(now).Milliseconds())
 	b = appendField(b, names.Deadline(), strconv.FormatInt(timeoutMillis, 10))
 	if meta.instance != "" {
@@ -359,11 +359,13 @@
 }
 
 // appendFields adds the request's framing and its header fields, except connection headers, internal headers and the
-// excluded ones, which the daemon sets itself.
-func appendFields(b []byte, r *request, excluded ...string) []byte {
-	options := r.header("Connection")
+// excluded ones, which the daemon sets itself. A caller cannot remove the caller's service or the request's id by naming them in its
+// Connection header.
+func appendFields(b []byte, r *request, names basillift.HeaderNames, excluded ...string) []byte {
+	options, required := r.header("Connection"), []string{names.Caller(), names.RequestID()}
 	for _, f := range r.fields {
-		if !connectionHeader(f.name) && !internalHeader(f.name) && !hasConnectionOption(options, f.name) && !containsName(excluded, f.name) {
+		ofConnection := connectionHeader(f.name) || hasConnectionOption(options, f.name) && !containsName(required, f.name)
+		if !ofConnection && !internalHeader(f.name) && !containsName(excluded, f.name) {
 			b = appendField(b, f.name, f.value)
 		}
 	}
