--- a/basillift/blforwarder/crash_test.go
+++ b/basillift/blforwarder/crash_test.go
@@ -238,6 +238,17 @@
 	})
 }
 
+// Guards against a crashing request that is taken for another one, since its host is spelled differently.
+func TestFingerprintIgnoresSpellingOfHost(t *testing.T) {
+	of := func(host, uri string) blquarantine.Fingerprint {
+		return fingerprintOf(&request{method: http.MethodGet, host: host, uri: uri})()
+	}
+	for _, host := range []string{"Shop.Example", "shop.example:80", "shop.example.", "SHOP.example.:8080"} {
+		is.New(t).Equal(of(host, "/x"), of("shop.example", "/x"))
+	}
+	is.New(t).True(of("shop.example", "/X") != of("shop.example", "/x"))
+}
+
 // assertStatus sends a request to a daemon and checks the status of its answer.
 func (m *crashMesh) assertStatus(t *testing.T, daemon int, format func(id string) string, want int) {
 	t.Helper()
--- a/basillift/blforwarder/crashdetector.go
+++ b/basillift/blforwarder/crashdetector.go
@@ -8,6 +8,7 @@
 
 	"basillift.dev/basillift/blpool"
 	"basillift.dev/basillift/blquarantine"
+	"basillift.dev/basillift/bltable"
 )
 
 const (
@@ -34,7 +35,7 @@
 // the fingerprint covers the part in memory.
 func fingerprintOf(r *request) func() blquarantine.Fingerprint {
 	return sync.OnceValue(func() blquarantine.Fingerprint {
-		return blquarantine.NewFingerprint("", r.host, r.method, r.uri, r.body)
+		return blquarantine.NewFingerprint("", bltable.NormalizeHost(r.host), r.method, r.uri, r.body)
 	})
 }
 
--- a/basillift/bltable/diff.go
+++ b/basillift/bltable/diff.go
@@ -98,7 +98,7 @@
 	steps := []string{fmt.Sprintf("table: version %d with %d routes", t.Version(), len(t.RoutingSpec().Routes()))}
 	r, found := t.Match(host, path)
 	if !found {
-		if t.routesByHost[host] == nil && t.routesByHost[normalizeHost(host)] == nil {
+		if t.routesByHost[host] == nil && t.routesByHost[NormalizeHost(host)] == nil {
 			return append(steps, fmt.Sprintf("host: no route has host %q; the answer is 404", host))
 		}
 		return append(steps, "path: no prefix of the host's routes matches; the answer is 404")
--- a/basillift/bltable/table.go
+++ b/basillift/bltable/table.go
@@ -66,7 +66,7 @@
 func (t *Table) Match(host, requestURI string) (*basillift.Route, bool) {
 	prefixes := t.routesByHost[host]
 	if prefixes == nil {
-		prefixes = t.routesByHost[normalizeHost(host)]
+		prefixes = t.routesByHost[NormalizeHost(host)]
 	}
 	if prefixes == nil {
 		return nil, false
@@ -85,8 +85,8 @@
 	return nil, false
 }
 
-// normalizeHost returns the host in lower case, without the port and a trailing dot.
-func normalizeHost(host string) string {
+// NormalizeHost returns the host in lower case, without the port and a trailing dot.
+func NormalizeHost(host string) string {
 	host = strings.ToLower(host)
 	if colon := strings.LastIndexByte(host, ':'); colon > 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
