--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sort"
 	"time"
 )
@@ -229,3 +230,36 @@
 	w.say("most requests in one second to the cold server: %d, allowed are %.1f", most, perSecond*excess+slack)
 	return float64(most) > perSecond*excess+slack, nil
 }
+
+// largeAnswer: the store turns one machine away while versions of a large configuration follow each other. Afterwards the
+// server of that machine leaves.
+func largeAnswer(w *world, trouble bool) (bool, error) {
+	routes := []route{catalogueRoute}
+	for i := range 3100 {
+		routes = append(routes, route{name: fmt.Sprintf("r-%07d", i), host: hostName, prefix: fmt.Sprintf("/idle-%05d/", i), timeout: "1200ms", service: catalogue})
+	}
+	if err := deployment(w, 60*time.Millisecond, false, routes...); err != nil {
+		return false, err
+	}
+	s, d := w.servers[1], w.daemons[1]
+	browse(w)
+	time.Sleep(2 * time.Second)
+	if trouble {
+		w.say("the store answers nothing to %s for 9 s", d.name)
+		w.store.setClosed(d.store, true)
+	}
+	end := time.Now().Add(9 * time.Second)
+	versions := 0
+	for ; time.Now().Before(end.Add(-200 * time.Millisecond)); time.Sleep(180 * time.Millisecond) {
+		versions++
+		routes[1].timeout = fmt.Sprintf("%dms", 1000+versions)
+		w.putConfig(1+versions, []string{catalogue, ledger}, false, routes...)
+	}
+	time.Sleep(time.Until(end))
+	if trouble {
+		w.store.setClosed(d.store, false)
+	}
+	w.say("%d versions of the configuration have followed each other; the store answers all machines", versions)
+	time.Sleep(4 * time.Second)
+	return checkDrain(w, s), nil
+}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -18,6 +18,7 @@
 	"weights":       weights,
 	"route-name":    routeName,
 	"cold-again":    coldAgain,
+	"large-answer":  largeAnswer,
 }
 
 func main() {
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -24,32 +24,98 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
-// store is a stand-in for the platform's metadata store. It keeps its whole history.
+// historyTime is how long the store keeps its history.
+const historyTime = 20 * time.Second
+
+// store is a stand-in for the platform's metadata store.
 type store struct {
 	mutex    sync.Mutex
 	revision uint64
 	items    map[string]change
 	history  []change
-	changed  chan struct{}
-	server   *http.Server
+	// times are the times of the changes in history, and dropped is the revision of the last one that is no longer kept.
+	times   []time.Time
+	dropped uint64
+	changed chan struct{}
+	servers []*http.Server
+	// closedTo holds the addresses of the store at which it answers nothing.
+	closedTo map[string]chan struct{}
+}
+
+func newStore() *store {
+	return &store{revision: 10, items: make(map[string]change), changed: make(chan struct{}), closedTo: make(map[string]chan struct{})}
 }
 
-func newStore(address string) (*store, error) {
-	s := &store{revision: 10, items: make(map[string]change), changed: make(chan struct{})}
+// serve opens an address of the store. Each machine has one of its own, so that the store can turn single machines away.
+func (s *store) serve(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.serveKey)
 	mux.HandleFunc("GET /v1/kv-range", s.serveRange)
 	mux.HandleFunc("GET /v1/kv-watch", s.serveWatch)
-	s.server = &http.Server{Handler: mux}
-	go func() { _ = s.server.Serve(l) }()
-	return s, nil
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.awaitOpen(address, r)
+		mux.ServeHTTP(&gate{ResponseWriter: w, store: s, address: address, request: r}, r)
+	})}
+	s.mutex.Lock()
+	s.servers = append(s.servers, server)
+	s.mutex.Unlock()
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// gate holds back what the store writes at an address at which it answers nothing.
+type gate struct {
+	http.ResponseWriter
+	store   *store
+	address string
+	request *http.Request
+}
+
+// Write implements io.Writer.
+func (g *gate) Write(p []byte) (int, error) {
+	g.store.awaitOpen(g.address, g.request)
+	return g.ResponseWriter.Write(p)
 }
 
-func (s *store) close() { _ = s.server.Close() }
+// awaitOpen returns at once unless the store answers nothing at the address. Then the answer is lost: the connection is closed once
+// the store answers again.
+func (s *store) awaitOpen(address string, r *http.Request) {
+	s.mutex.Lock()
+	opened := s.closedTo[address]
+	s.mutex.Unlock()
+	if opened == nil {
+		return
+	}
+	select {
+	case <-opened:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// setClosed makes the store answer nothing at an address, or answer again.
+func (s *store) setClosed(address string, closed bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if closed {
+		s.closedTo[address] = make(chan struct{})
+		return
+	}
+	close(s.closedTo[address])
+	delete(s.closedTo, address)
+}
+
+func (s *store) close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
 
 // put writes a key and returns when the store has accepted it.
 func (s *store) put(key string, value []byte) time.Time {
@@ -78,12 +144,22 @@
 	return time.Now()
 }
 
+// add adds a change to the history and drops those that are too old.
 func (s *store) add(c change) {
-	s.history = append(s.history, c)
+	now := time.Now()
+	s.history, s.times = append(s.history, c), append(s.times, now)
+	s.dropOld(now)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func (s *store) dropOld(now time.Time) {
+	for len(s.times) > 0 && now.Sub(s.times[0]) > historyTime {
+		s.dropped = s.history[0].Revision
+		s.history, s.times = s.history[1:], s.times[1:]
+	}
+}
+
 // value returns the value of a key.
 func (s *store) value(key string) ([]byte, bool) {
 	s.mutex.Lock()
@@ -136,6 +212,12 @@
 	end := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	for {
 		s.mutex.Lock()
+		s.dropOld(time.Now())
+		if after < s.dropped {
+			s.mutex.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []change{}
 		for _, c := range s.history {
 			if c.Revision > after && strings.HasPrefix(c.Key, q.Get("prefix")) {
--- a/review/lab2/world.go
+++ b/review/lab2/world.go
@@ -51,9 +51,11 @@
 type daemon struct {
 	name, ip, zone, service       string
 	inbound, outbound, ready, app string
-	settings                      string
-	process                       *exec.Cmd
-	log                           *os.File
+	// store is the address at which this machine reaches the store.
+	store    string
+	settings string
+	process  *exec.Cmd
+	log      *os.File
 }
 
 // newWorld opens the store. record is the file to which everything is written.
@@ -71,8 +73,8 @@
 		w.network = fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), rand.IntN(250))
 		w.port = 12_000 + 20*rand.IntN(900)
 		if w.portsAreFree() {
-			w.store, err = newStore(w.address(9, 9))
-			return w, err
+			w.store = newStore()
+			return w, nil
 		}
 	}
 	return nil, errors.New("no free ports")
@@ -118,6 +120,10 @@
 		inbound: w.address(n, 0), outbound: w.address(n, 4), ready: w.address(n, 2), app: s.address,
 	}
 	w.servers, w.daemons = append(w.servers, s), append(w.daemons, d)
+	d.store = w.address(n, 9)
+	if err := w.store.serve(d.store); err != nil {
+		return nil, nil, err
+	}
 	return s, d, w.startDaemon(d)
 }
 
@@ -157,7 +163,7 @@
 	values := map[string]any{
 		"node": d.name, "zone": d.zone, "region": "region", "service": d.service, "ip": d.ip, "app": d.app,
 		"listenAddrs.outbound": d.outbound, "listenAddrs.inbound": d.inbound, "listenAddrs.ready": d.ready,
-		"peerPorts.0": w.port + 5, "peerPorts.1": w.port + 8, "platform.address": w.address(9, 9),
+		"peerPorts.0": w.port + 5, "peerPorts.1": w.port + 8, "platform.address": d.store,
 		"bounds.drain": fmt.Sprintf("%dms", drain.Milliseconds()), "bounds.grace": "6s", "bounds.retryRatio": 0.2, "bounds.retryAllowance": 64, "limits.linkMbps": 1000.0,
 	}
 	return placeholderPattern.ReplaceAllFunc(template, func(found []byte) []byte {
@@ -266,6 +272,6 @@
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
 	})
 	at := w.store.put("op/config", value)
-	w.note("store accepts op/config %s", value)
+	w.note("store accepts op/config, %d bytes: %.300s", len(value), value)
 	return at
 }
