--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -118,7 +118,7 @@
 	return checkDrain(w, s), nil
 }
 
-// weights: the operator splits a route by large weights.
+// weights: the operator splits a route by large weights, and changes them three times.
 func weights(w *world, trouble bool) (bool, error) {
 	first := route{name: "browse", host: hostName, prefix: "/browse/", timeout: "800ms", service: catalogue}
 	if err := deployment(w, 60*time.Millisecond, false, first); err != nil {
@@ -128,14 +128,20 @@
 		w.startLoad(d, "browse", hostName, "/browse/", 20, 1500*time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
-	parts := []weighted{{catalogue, 75}, {ledger, 25}}
+	unit := int64(1)
 	if trouble {
-		parts = []weighted{{catalogue, 900_000_000}, {ledger, 100_000_000}}
+		unit = 10_000_000
+	}
+	first.service = ""
+	var acknowledged time.Time
+	for i, share := range []int64{90, 80, 70, 60} {
+		first.split = []weighted{{catalogue, share * unit}, {ledger, (100 - share) * unit}}
+		if at := w.putConfig(2+i, []string{catalogue, ledger}, false, first); i == 0 {
+			acknowledged = at
+		}
+		w.say("the route is split by the weights %d and %d", first.split[0].Weight, first.split[1].Weight)
+		time.Sleep(4 * time.Second)
 	}
-	first.service, first.split = "", parts
-	acknowledged := w.putConfig(2, []string{catalogue, ledger}, false, first)
-	w.say("the route is split by the weights %d and %d", parts[0].Weight, parts[1].Weight)
-	time.Sleep(15 * time.Second)
 	const timeout = 800 * time.Millisecond
 	overdue, never, all := 0, 0, 0
 	for _, l := range w.loads {
@@ -152,7 +158,7 @@
 			}
 		}
 	}
-	w.say("of %d requests after the change, %d had no answer at the route's timeout, and %d had none half a second later", all, overdue, never)
+	w.say("of %d requests after the first change, %d had no answer at the route's timeout, and %d had none half a second later", all, overdue, never)
 	return never >= 8 && 4*never > overdue, nil
 }
 
