blforwarder: an answer with an invalid status or version does not reach callers (MIXED)

What callers saw: a target in trouble sent the status 000, and the caller got a 200 with that target's bytes. The same went for a status of 600, two blanks before the status, a control byte in the phrase, "HTTP/2.0", and an empty line before the status line.

Cause: answers were parsed by fasthttp, which stores the status 0 for 000 and returns 200 for a stored 0. It repairs the other lines or does not look at them.

Change: package blhttp reads the head of a response. It accepts HTTP/1.x with a status of 100 to 599 (RFC 9112, section 4, and RFC 9110, section 15), also for interim answers. What is refused has the outcome "unknown": a request that must not run twice ends with 502, others are sent again. The length of a 204, which must have none, is no longer passed on.

--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/blquarantine"
 )
 
@@ -220,37 +220,29 @@
 	encoded bool
 }
 
-// readAnswer skips interim answers and reads the header of the final answer and its body, or the first part of a
-// large body.
-func readAnswer(reader *bufio.Reader, h *fasthttp.ResponseHeader, r *request, headReceived func(*receivedAnswer)) (*receivedAnswer, error) {
-	for {
-		h.Reset()
-		h.DisableNormalizing()
-		h.SetNoDefaultContentType(true)
-		if err := h.Read(reader); err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
-		}
-		if h.StatusCode() >= http.StatusOK {
-			break
-		}
-		if h.StatusCode() == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("read answer: %w", errTruncatedAnswer)
-		}
+// readAnswer reads the head of the final answer and its body, or the first part of a large body.
+func (e *exchange) readAnswer() (*receivedAnswer, error) {
+	head, err := blhttp.ReadHead(e.conn.Reader(), e.request.method)
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
 	}
-	a := &receivedAnswer{reusable: !h.ConnectionClose()}
-	a.status, a.length = h.StatusCode(), h.ContentLength()
-	for name, value := range h.All() {
-		a.addHeader(string(name), string(value))
+	a := &receivedAnswer{reusable: head.Persistent()}
+	a.status, a.length, a.bodyless = head.Status(), max(head.Length(), blhttp.LengthUnknown), head.Bodyless()
+	a.fields = make([]field, 0, head.FieldCount())
+	for name, value := range head.Fields() {
+		a.addHeader(name, value)
 	}
-	if headReceived != nil {
-		headReceived(a)
+	if e.headReceived != nil {
+		e.headReceived(a)
 	}
-	status := a.status
-	if r.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
-		a.bodyless = true
+	if a.bodyless {
 		return a, nil
 	}
-	return a, a.readBody(reader, r.memory)
+	var source io.Reader = e.conn.Reader()
+	if head.Length() != blhttp.LengthUntilClose {
+		source = bodyReader(e.conn.Reader(), a.length)
+	}
+	return a, a.readBody(source, e.request.memory)
 }
 
 // addHeader keeps a header field, and evaluates those that concern the connection or the encoding.
@@ -277,15 +269,7 @@
 	return 0
 }
 
-func (ra *receivedAnswer) readBody(reader *bufio.Reader, memory *bodyMemory) error {
-	var source io.Reader = reader
-	if ra.length >= -1 {
-		source = bodyReader(reader, ra.length)
-	} else {
-		// Without framing, the body ends when the connection is closed.
-		ra.reusable = false
-		ra.length = -1
-	}
+func (ra *receivedAnswer) readBody(source io.Reader, memory *bodyMemory) error {
 	body, more, err := readBuffered(source, ra.length, memory.take)
 	if err != nil {
 		return fmt.Errorf("read answer body: %w", err)
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift/blpool"
 )
@@ -122,10 +121,8 @@
 		e.sender = &sender{exchange: e, done: make(chan struct{})}
 		go e.sender.run()
 	}
-	h := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(h)
 	for range maxStaleAnswers + 1 {
-		a, err := readAnswer(e.conn.Reader(), &h.Header, e.request, e.headReceived)
+		a, err := e.readAnswer()
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/basillift/blforwarder/malformedanswer_test.go
@@ -0,0 +1,150 @@
+package blforwarder
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// malformedAnswers are answers that RFC 9112 does not allow, by what is wrong with them. Taken for an answer, each has a body of two
+// bytes.
+func malformedAnswers() map[string]string {
+	const rest = "X-Id: ID\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+	const sound = "HTTP/1.1 200 OK\r\n" + rest
+	all := map[string]string{
+		"empty line before":  "\r\n" + sound,
+		"interim status 000": "HTTP/1.1 000 \r\n\r\n" + sound,
+	}
+	for _, line := range []string{
+		"HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+		"HTTP/1.1 +20 OK", "HTTP/1.1200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/2.0 200 OK", "http/1.1 200 OK", "HTTP/1.10 200 OK", "ICY 200 OK",
+	} {
+		all[line] = line + "\r\n" + rest
+	}
+	return all
+}
+
+// withChunks returns an answer with a transfer coding.
+func withChunks(coding, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Seal: s\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + body
+}
+
+// answerOnce returns a script that writes an answer and closes the connection.
+func answerOnce(text string) script {
+	return func(w net.Conn, r *http.Request, _ []byte) bool {
+		_ = writeAnswer(w, r, text)
+		return false
+	}
+}
+
+// startMeshOfOne starts two daemons and a target that only the first one's VM has.
+func startMeshOfOne(t *testing.T, f *fakeTarget) *mesh {
+	t.Helper()
+	m := startMesh(t, f, startTarget(t, answerOK))
+	m.fleet.Apply(time.Now(), removalOf("t1", 3))
+	for _, each := range m.forwarders {
+		each.TargetsChanged(time.Now())
+	}
+	return m
+}
+
+// eachCaller runs a test from the target's own VM and from another one. The number of the caller's daemon follows the name.
+func eachCaller(t *testing.T, test func(t *testing.T, daemon int)) {
+	t.Helper()
+	for daemon, from := range []string{"own VM", "other VM"} {
+		t.Run(from, func(t *testing.T) { test(t, daemon) })
+	}
+}
+
+// Guards against bytes that are no HTTP answer and reach the caller as one (MIXED), and against saying of their request that it
+// has not run (REFUSED).
+func TestMalformedAnswers(t *testing.T) {
+	for name, text := range malformedAnswers() {
+		t.Run(name, func(t *testing.T) {
+			eachCaller(t, func(t *testing.T, daemon int) {
+				f := startTarget(t, answerOnce(text))
+				c := startMeshOfOne(t, f).dial(t, daemon)
+				c.send(post("1", "x"))
+				c.assertAnswer(http.StatusBadGateway, "")
+				is.New(t).Equal(f.count("1"), 1)
+			})
+		})
+	}
+}
+
+// Guards against a malformed answer that ends a request which may be sent to another target.
+func TestMalformedAnswerIsRetried(t *testing.T) {
+	eachCaller(t, func(t *testing.T, daemon int) {
+		var answered atomic.Bool
+		malformedOnce := func(w net.Conn, r *http.Request, body []byte) bool {
+			if answered.Swap(true) {
+				return answerOK(w, r, body)
+			}
+			return writeAnswer(w, r, malformedAnswers()["HTTP/1.1 000 "])
+		}
+		c := startMesh(t, startTarget(t, malformedOnce), startTarget(t, malformedOnce)).dial(t, daemon)
+		c.send(get("1", "/get/x"))
+		c.assertAnswer(http.StatusOK, "/get/x ")
+	})
+}
+
+// Guards against a sound answer that is refused because it is unusual.
+func TestWellFormedAnswers(t *testing.T) {
+	const head = "X-Id: ID\r\nX-Seal: s\r\n"
+	ok := "HTTP/1.1 200 OK\r\n" + head
+	for name, text := range map[string]string{
+		"no phrase":              "HTTP/1.1 200 \r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"no space behind status": "HTTP/1.1 200\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"phrase with high bytes": "HTTP/1.1 200 \xc3\xa4\t!\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"later minor version":    "HTTP/1.2 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0 with a length": "HTTP/1.0 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0 until the end": "HTTP/1.0 200 OK\r\n" + head + "\r\nok",
+		"until the end":          ok + "\r\nok",
+		"interim answers":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachCaller(t, func(t *testing.T, daemon int) {
+				c := startMeshOfOne(t, startTarget(t, answerOnce(text))).dial(t, daemon)
+				c.send(post("1", "x"))
+				c.assertAnswer(http.StatusOK, "ok")
+			})
+		})
+	}
+}
+
+// Guards against an answer to HEAD, or without content, that is read with a body, and against the length of a body that a 204
+// must not have.
+func TestAnswersWithoutBody(t *testing.T) {
+	for name, tc := range map[string]struct{ method, text, length string }{
+		"HEAD":         {"HEAD", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n", "7"},
+		"HEAD, chunks": {"HEAD", withChunks("chunked", ""), ""},
+		"204":          {"GET", "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n", ""},
+		"304":          {"GET", "HTTP/1.1 304 Not Modified\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n", "7"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachCaller(t, func(t *testing.T, daemon int) {
+				is := is.New(t)
+				f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
+					if r.URL.Path == "/get/next" {
+						return answerOK(w, r, body)
+					}
+					return writeAnswer(w, r, tc.text)
+				})
+				c := startMeshOfOne(t, f).dial(t, daemon)
+				c.send(strings.Replace(get("1", "/get/x"), "GET", tc.method, 1))
+				r, err := http.ReadResponse(c.reader, &http.Request{Method: tc.method})
+				is.NoErr(err)
+				is.Equal(r.Header.Get("X-Seal"), "s")
+				is.Equal(r.Header.Get("Content-Length"), tc.length)
+				c.send(get("2", "/get/next"))
+				c.assertAnswer(http.StatusOK, "/get/next ")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/basillift/blhttp/head.go
@@ -0,0 +1,226 @@
+package blhttp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+	"net/http"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// ErrMalformed means that a peer sent bytes that are no HTTP response.
+	ErrMalformed = eris.New("malformed response")
+	// ErrTruncated means that a response ended before its end.
+	ErrTruncated = eris.New("truncated response")
+)
+
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 16 << 10
+
+// Values of Head.Length that are no length.
+const (
+	// LengthUnknown is that of a body in chunks, and that of a response without a body that announces no length.
+	LengthUnknown = -1
+	// LengthUntilClose is that of a body that ends with its connection.
+	LengthUntilClose = -2
+)
+
+// Field is a header field as received, without the blanks around its value.
+type Field struct{ name, value string }
+
+// Head is the head of a final response.
+type Head struct {
+	status     int
+	minor      byte
+	fields     []Field
+	length     int
+	chunked    bool
+	bodyless   bool
+	persistent bool
+	// options are the values of all fields Connection, as one list.
+	options string
+}
+
+// Status returns the status code, from 200 to 599.
+func (h *Head) Status() int { return h.status }
+
+// Fields returns names and values of all header fields in the order in which they arrived.
+func (h *Head) Fields() iter.Seq2[string, string] {
+	return func(yield func(name, value string) bool) {
+		for _, f := range h.fields {
+			if !yield(f.name, f.value) {
+				return
+			}
+		}
+	}
+}
+
+// FieldCount returns the number of header fields.
+func (h *Head) FieldCount() int { return len(h.fields) }
+
+// Length returns the size of the body in bytes, LengthUnknown or LengthUntilClose. For a response without a body it is the size
+// that it announces.
+func (h *Head) Length() int { return h.length }
+
+// Bodyless reports whether the response has no body, whatever its fields say.
+func (h *Head) Bodyless() bool { return h.bodyless }
+
+// Persistent reports whether the connection can carry another request once the body has been read.
+func (h *Head) Persistent() bool { return h.persistent }
+
+// ReadHead reads the head of the final response to a request with a method and skips interim ones. It returns an error that wraps
+// io.EOF, and neither ErrMalformed nor ErrTruncated, if the connection was closed before the first byte.
+func ReadHead(reader *bufio.Reader, method string) (*Head, error) {
+	for {
+		h, err := readOneHead(reader)
+		if err != nil {
+			return nil, err
+		}
+		if h.status == http.StatusSwitchingProtocols {
+			return nil, malformed("unrequested protocol switch")
+		}
+		if h.status < http.StatusOK {
+			continue
+		}
+		return h, h.parseFraming(method)
+	}
+}
+
+// readOneHead reads the head of a final or an interim response.
+func readOneHead(reader *bufio.Reader) (*Head, error) {
+	lines := lineReader{reader: reader, left: maxHeadBytes}
+	line, err := lines.next()
+	if err != nil {
+		return nil, err
+	}
+	h := &Head{}
+	if h.status, h.minor, err = parseStatusLine(line); err != nil {
+		return nil, err
+	}
+	h.fields, err = lines.fields()
+	return h, err
+}
+
+// lineReader reads the lines of a head.
+type lineReader struct {
+	reader *bufio.Reader
+	left   int
+	begun  bool
+}
+
+// next returns a line without its end, which is valid until the next read.
+func (l *lineReader) next() ([]byte, error) {
+	line, err := l.reader.ReadSlice('\n')
+	if err != nil {
+		return nil, l.incomplete(line, err)
+	}
+	l.begun = true
+	if l.left -= len(line); l.left < 0 {
+		return nil, malformed("head of more than %d bytes", maxHeadBytes)
+	}
+	return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
+}
+
+// incomplete returns the error for a line that did not arrive to its end.
+func (l *lineReader) incomplete(line []byte, err error) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return malformed("line of more than %d bytes", len(line))
+	case !l.begun && len(line) == 0:
+	case errors.Is(err, io.EOF):
+		return truncated("the head", io.ErrUnexpectedEOF)
+	case errors.Is(err, syscall.ECONNRESET):
+		return truncated("the head", err)
+	}
+	return fmt.Errorf("read response: %w", err)
+}
+
+// fields reads header fields up to an empty line. All names and values share one string.
+func (l *lineReader) fields() ([]Field, error) {
+	text, sizes := make([]byte, 0, 512), make([][2]int, 0, 16)
+	for {
+		line, err := l.next()
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			break
+		}
+		name, value, err := parseField(line)
+		if err != nil {
+			return nil, err
+		}
+		text = append(append(text, name...), value...)
+		sizes = append(sizes, [2]int{len(name), len(value)})
+	}
+	rest, fields := string(text), make([]Field, len(sizes))
+	for i, size := range sizes {
+		end := size[0] + size[1]
+		fields[i], rest = Field{rest[:size[0]], rest[size[0]:end]}, rest[end:]
+	}
+	return fields, nil
+}
+
+// parseField parses a line of a head (RFC 9112, section 5).
+func parseField(line []byte) (name, value []byte, err error) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	name = bytes.TrimRight(name, " \t")
+	if !found || len(name) == 0 || !isText(name) {
+		return nil, nil, malformed("name of field %.40q", name)
+	}
+	value = bytes.Trim(value, " \t")
+	if !isText(value) {
+		return nil, nil, malformed("value of field %.40q: %.40q", name, value)
+	}
+	return name, value, nil
+}
+
+// parseStatusLine parses the first line of a response (RFC 9112, section 4). A status outside 100 to 599 is invalid (RFC 9110,
+// section 15).
+func parseStatusLine(line []byte) (status int, minor byte, err error) {
+	const status200 = "HTTP/1.1 200"
+	if len(line) < len(status200) || string(line[:7]) != "HTTP/1." || !isDigits(line[7:8]) || line[8] != ' ' || !isDigits(line[9:12]) {
+		return 0, 0, malformed("status line %.40q", line)
+	}
+	for _, digit := range line[9:12] {
+		status = 10*status + int(digit-'0')
+	}
+	phrase := line[len(status200):]
+	if status < http.StatusContinue || status > 599 || len(phrase) > 0 && phrase[0] != ' ' || !isText(phrase) {
+		return 0, 0, malformed("status line %.40q", line)
+	}
+	return status, line[7], nil
+}
+
+// isText reports whether a text has no control bytes, except for tabs.
+func isText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func isDigits[T string | []byte](text T) bool {
+	for _, c := range []byte(text) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+func malformed(format string, arguments ...any) error {
+	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, arguments...))
+}
+
+func truncated(part string, err error) error {
+	return fmt.Errorf("%w: the connection ended within %s: %w", ErrTruncated, part, err)
+}
