--- a/basillift/blforwarder/malformedanswer_test.go
+++ b/basillift/blforwarder/malformedanswer_test.go
@@ -17,8 +17,9 @@
 	const rest = "X-Id: ID\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok"
 	const sound = "HTTP/1.1 200 OK\r\n" + rest
 	all := map[string]string{
-		"empty line before":  "\r\n" + sound,
-		"interim status 000": "HTTP/1.1 000 \r\n\r\n" + sound,
+		"empty line before":          "\r\n" + sound,
+		"interim status 000":         "HTTP/1.1 000 \r\n\r\n" + sound,
+		"field of an interim answer": "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + sound,
 	}
 	for _, line := range []string{
 		"HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
@@ -27,6 +28,12 @@
 	} {
 		all[line] = line + "\r\n" + rest
 	}
+	for _, line := range []string{
+		"X Bad: 1", "X-Bad : 1", " X-Bad: 1", "X\tBad: 1", "X\x00Bad: 1", "X\x01Bad: 1", "X\x7fBad: 1", "X\rBad: 1", "X\nBad: 1", "\nX-Bad: 1", "X\xe4Bad: 1", "X(Bad): 1",
+		": 1", "X-Bad", "X-Bad: 1\r\n 2", "X-Bad: 1\x002", "X-Bad: 1\x012", "X-Bad: 1\x7f2", "X-Bad: 1\r2", "X-Bad: 1\nX-Bad: 1",
+	} {
+		all[line] = strings.Replace(sound, "Content", line+"\r\nContent", 1)
+	}
 	return all
 }
 
@@ -99,14 +106,19 @@
 	const head = "X-Id: ID\r\nX-Seal: s\r\n"
 	ok := "HTTP/1.1 200 OK\r\n" + head
 	for name, text := range map[string]string{
-		"no phrase":              "HTTP/1.1 200 \r\n" + head + "Content-Length: 2\r\n\r\nok",
-		"no space behind status": "HTTP/1.1 200\r\n" + head + "Content-Length: 2\r\n\r\nok",
-		"phrase with high bytes": "HTTP/1.1 200 \xc3\xa4\t!\r\n" + head + "Content-Length: 2\r\n\r\nok",
-		"later minor version":    "HTTP/1.2 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok",
-		"HTTP/1.0 with a length": "HTTP/1.0 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok",
-		"HTTP/1.0 until the end": "HTTP/1.0 200 OK\r\n" + head + "\r\nok",
-		"until the end":          ok + "\r\nok",
-		"interim answers":        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
+		"no phrase":               "HTTP/1.1 200 \r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"no space behind status":  "HTTP/1.1 200\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"phrase with high bytes":  "HTTP/1.1 200 \xc3\xa4\t!\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"later minor version":     "HTTP/1.2 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0 with a length":  "HTTP/1.0 200 OK\r\n" + head + "Content-Length: 2\r\n\r\nok",
+		"HTTP/1.0 until the end":  "HTTP/1.0 200 OK\r\n" + head + "\r\nok",
+		"until the end":           ok + "\r\nok",
+		"no blank before a value": ok + "Content-Length:2\r\n\r\nok",
+		"blanks around a value":   ok + "Content-Length: \t2\t \r\n\r\nok",
+		"name in lower case":      ok + "content-length: 2\r\n\r\nok",
+		"all bytes of a token":    ok + "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok",
+		"unusual values":          ok + "X-A:\r\nX-B: a\tb \xff\r\nContent-Length: 2\r\n\r\nok",
+		"interim answers":         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
 			eachCaller(t, func(t *testing.T, daemon int) {
--- a/basillift/blhttp/head.go
+++ b/basillift/blhttp/head.go
@@ -8,6 +8,7 @@
 	"io"
 	"iter"
 	"net/http"
+	"strings"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -94,7 +95,7 @@
 
 // readOneHead reads the head of a final or an interim response.
 func readOneHead(reader *bufio.Reader) (*Head, error) {
-	lines := lineReader{reader: reader, left: maxHeadBytes}
+	lines := lineReader{reader: reader, part: "head", left: maxHeadBytes}
 	line, err := lines.next()
 	if err != nil {
 		return nil, err
@@ -107,14 +108,17 @@
 	return h, err
 }
 
-// lineReader reads the lines of a head.
+// lineReader reads the lines of a part of a response.
 type lineReader struct {
 	reader *bufio.Reader
+	part   string
 	left   int
-	begun  bool
+	// begun is set once the response has begun.
+	begun bool
 }
 
-// next returns a line without its end, which is valid until the next read.
+// next returns a line without its end, which is valid until the next read. A line feed alone ends no line: one in the name of a field
+// could end the head, and the rest of the head would be read as the body.
 func (l *lineReader) next() ([]byte, error) {
 	line, err := l.reader.ReadSlice('\n')
 	if err != nil {
@@ -122,21 +126,25 @@
 	}
 	l.begun = true
 	if l.left -= len(line); l.left < 0 {
-		return nil, malformed("head of more than %d bytes", maxHeadBytes)
+		return nil, malformed("%s of more than %d bytes", l.part, maxHeadBytes)
 	}
-	return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
+	text, found := bytes.CutSuffix(line, []byte("\r\n"))
+	if !found {
+		return nil, malformed("line %.40q of the %s ends without a carriage return", line, l.part)
+	}
+	return text, nil
 }
 
 // incomplete returns the error for a line that did not arrive to its end.
 func (l *lineReader) incomplete(line []byte, err error) error {
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
-		return malformed("line of more than %d bytes", len(line))
+		return malformed("line of the %s of more than %d bytes", l.part, len(line))
 	case !l.begun && len(line) == 0:
 	case errors.Is(err, io.EOF):
-		return truncated("the head", io.ErrUnexpectedEOF)
+		return truncated(l.part, io.ErrUnexpectedEOF)
 	case errors.Is(err, syscall.ECONNRESET):
-		return truncated("the head", err)
+		return truncated(l.part, err)
 	}
 	return fmt.Errorf("read response: %w", err)
 }
@@ -167,11 +175,11 @@
 	return fields, nil
 }
 
-// parseField parses a line of a head (RFC 9112, section 5).
+// parseField parses a line of a head (RFC 9112, section 5). A name ends at the colon: the proxies on a path do not
+// agree on what a name with a blank means.
 func parseField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	name = bytes.TrimRight(name, " \t")
-	if !found || len(name) == 0 || !isText(name) {
+	if !found || !isToken(name) {
 		return nil, nil, malformed("name of field %.40q", name)
 	}
 	value = bytes.Trim(value, " \t")
@@ -198,6 +206,19 @@
 	return status, line[7], nil
 }
 
+// isToken reports whether a text may be the name of a field (RFC 9110, section 5.6.2).
+func isToken(text []byte) bool {
+	for _, c := range text {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-':
+		case strings.IndexByte("!#$%&'*+.^_`|~", c) >= 0:
+		default:
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // isText reports whether a text has no control bytes, except for tabs.
 func isText(text []byte) bool {
 	for _, c := range text {
@@ -222,5 +243,5 @@
 }
 
 func truncated(part string, err error) error {
-	return fmt.Errorf("%w: the connection ended within %s: %w", ErrTruncated, part, err)
+	return fmt.Errorf("%w: the connection ended within the %s: %w", ErrTruncated, part, err)
 }
