blforwarder: a reset while the request is written does not end an answer (MIXED)

What callers saw: a target answered an upload of some MB at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: Linux reports a reset once, to the first call on the socket that sees it. If that is the write of the goroutine that sends the request, the read of the goroutine that receives the answer returns io.EOF, which ends a body without a length.

Change: where such a body ends, the exchange stops its sender and looks at the sender's error. A write that failed with anything but its deadline and EPIPE saw a connection that broke before the peer had closed its side: the answer is truncated. EPIPE means that the peer had closed its side before the reset, so an answer that ended with its connection stays whole. A sender that is in a write at that moment returns the kernel's error first, so no reset is missed.

--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -239,7 +239,9 @@
 		return a, nil
 	}
 	var source io.Reader = e.conn.Reader()
-	if head.Length() != blhttp.LengthUntilClose {
+	if head.Length() == blhttp.LengthUntilClose {
+		source = &unframedBody{source: source, exchange: e}
+	} else {
 		source = bodyReader(e.conn.Reader(), a.length)
 	}
 	return a, a.readBody(source, e.request.memory)
@@ -280,3 +282,20 @@
 	}
 	return nil
 }
+
+// unframedBody is a body that ends with the connection. One that is reset is truncated.
+type unframedBody struct {
+	source   io.Reader
+	exchange *exchange
+}
+
+// Read implements io.Reader.
+func (u *unframedBody) Read(p []byte) (int, error) {
+	n, err := u.source.Read(p)
+	if errors.Is(err, io.EOF) {
+		if reset := u.exchange.stopSender(); reset != nil {
+			return n, fmt.Errorf("%w: %w", blhttp.ErrTruncated, reset)
+		}
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+}
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -206,8 +206,30 @@
 	return nil
 }
 
+// stopSender ends the sending of the request. It returns an error if the connection broke off before the peer had ended its answer.
+func (e *exchange) stopSender() error {
+	if e.sender == nil {
+		return nil
+	}
+	select {
+	case <-e.sender.done:
+	default:
+		_ = e.conn.SetWriteDeadline(time.Unix(1, 0))
+		// A peer that has not read the whole request would see the end of the connection only behind it.
+		e.conn.ResetOnClose()
+		if e.request.stream != nil {
+			e.request.stream.stop()
+		}
+		<-e.sender.done
+	}
+	if blpool.BrokeOff(e.sender.err) {
+		return e.sender.err
+	}
+	return nil
+}
+
 // finish returns the connection to the pool, or closes it if it cannot be reused or the request was not sent
-// completely.
+// completely. After that the sender does not read from the caller's connection.
 func (e *exchange) finish(reusable bool) {
 	canceled := !e.detachContext()
 	if e.sender != nil {
@@ -216,9 +238,7 @@
 			reusable = reusable && e.sender.err == nil
 		default:
 			reusable = false
-			_ = e.conn.SetDeadline(time.Unix(1, 0))
-			// A peer that has not read the whole request would see the end of the connection only behind it.
-			e.conn.ResetOnClose()
+			_ = e.stopSender()
 		}
 	}
 	if reusable && !canceled && !e.readStaleAnswer && e.conn.Reader().Buffered() == 0 {
@@ -226,12 +246,7 @@
 		return
 	}
 	e.pool.Discard(e.conn)
-	if e.sender == nil {
-		return
-	}
-	if e.request.stream != nil {
+	if e.sender != nil && e.request.stream != nil {
 		e.request.stream.stop()
 	}
-	// The sender must not read from the caller's connection after finish returns.
-	<-e.sender.done
 }
--- a/basillift/blforwarder/malformedanswer_test.go
+++ b/basillift/blforwarder/malformedanswer_test.go
@@ -1,6 +1,9 @@
 package blforwarder
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -160,3 +163,91 @@
 		})
 	}
 }
+
+// startEarlyTarget serves a target that answers each request as soon as some of its body has arrived, without a length, and then
+// ends the connection in its own way.
+func startEarlyTarget(t *testing.T, part string, end func(*net.TCPConn)) *fakeTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r, err := http.ReadRequest(bufio.NewReader(io.LimitReader(conn, 64<<10)))
+				if err == nil {
+					_ = writeAnswer(conn, r, okHeader+"\r\n"+part)
+				}
+				end(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return &fakeTarget{address: l.Addr().String(), listener: l}
+}
+
+// eachUpload sends uploads of some MB one after the other and passes each caller to a function.
+func eachUpload(t *testing.T, f *fakeTarget, count int, check func(c *caller)) {
+	t.Helper()
+	eachCaller(t, func(t *testing.T, daemon int) {
+		m := startMeshOfOne(t, f)
+		m.publish(t, 2, hangGuard)
+		for i := range count {
+			c := m.dial(t, daemon)
+			go func() {
+				_, _ = io.WriteString(c.conn, withoutTimeLimit(post(fmt.Sprint(i), strings.Repeat("x", 2<<20))))
+			}()
+			check(c)
+		}
+	})
+}
+
+// Guards against a part of an answer that reaches the caller as a whole one (MIXED): a reset while the request is still being
+// written is reported to the write, and the read then sees the end of an answer without a length.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	for name, part := range map[string]string{"small": "part", "large": strings.Repeat("p", maxBufferedBytes+100<<10)} {
+		t.Run(name, func(t *testing.T) {
+			f := startEarlyTarget(t, part, func(conn *net.TCPConn) {
+				// The daemon is writing when the reset arrives.
+				time.Sleep(5 * time.Millisecond)
+				_ = conn.SetLinger(0)
+				_ = conn.Close()
+			})
+			// Which goroutine of the daemon sees the reset first differs.
+			eachUpload(t, f, 40, func(c *caller) {
+				c.t.Helper()
+				if a := c.read(); a.err == nil && a.status != http.StatusBadGateway {
+					c.t.Fatalf("answer %d with %d bytes, want 502 or a broken connection", a.status, len(a.body))
+				}
+			})
+		})
+	}
+}
+
+// Guards against an answer without a length that is dropped although it is whole, because the target stops reading the upload.
+func TestEarlyAnswerWithoutLengthIsWhole(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
+	large := strings.Repeat("p", 100<<10)
+	for name, tc := range map[string]struct {
+		whole string
+		end   func(*net.TCPConn)
+	}{
+		"upload is read":     {large, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) }},
+		"upload is not read": {large, func(*net.TCPConn) { <-ended }},
+		// With unread bytes the close is a reset. A large answer might not have arrived before it.
+		"reset after it": {"whole", func(*net.TCPConn) { time.Sleep(time.Millisecond) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startEarlyTarget(t, tc.whole, func(conn *net.TCPConn) {
+				_ = conn.CloseWrite()
+				tc.end(conn)
+				_ = conn.Close()
+			})
+			eachUpload(t, f, 5, func(c *caller) { c.assertAnswer(http.StatusOK, tc.whole) })
+		})
+	}
+}
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -126,6 +127,14 @@
 	return n, nil
 }
 
+// BrokeOff reports whether the error of a write to a connection means that it broke before the peer had ended its own bytes. The kernel
+// reports such an error only once; a later read returns io.EOF, as it does behind the last byte of a peer that has closed its side.
+// A reset after that is EPIPE.
+func BrokeOff(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "write" && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Read reads from the connection and calls the function of OnRead.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
