--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -238,11 +238,9 @@
 	if a.bodyless {
 		return a, nil
 	}
-	var source io.Reader = e.conn.Reader()
+	source := head.Body(e.conn.Reader())
 	if head.Length() == blhttp.LengthUntilClose {
 		source = &unframedBody{source: source, exchange: e}
-	} else {
-		source = bodyReader(e.conn.Reader(), a.length)
 	}
 	return a, a.readBody(source, e.request.memory)
 }
--- a/basillift/blforwarder/malformedanswer_test.go
+++ b/basillift/blforwarder/malformedanswer_test.go
@@ -18,11 +18,13 @@
 // bytes.
 func malformedAnswers() map[string]string {
 	const rest = "X-Id: ID\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok"
-	const sound = "HTTP/1.1 200 OK\r\n" + rest
+	const sound, oneChunk, lastChunk = "HTTP/1.1 200 OK\r\n" + rest, "2\r\nok\r\n", "0\r\n\r\n"
 	all := map[string]string{
 		"empty line before":          "\r\n" + sound,
 		"interim status 000":         "HTTP/1.1 000 \r\n\r\n" + sound,
 		"field of an interim answer": "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + sound,
+		"length and chunks":          strings.Replace(sound, "X-Id", "Transfer-Encoding: chunked\r\nX-Id", 1),
+		"chunks in HTTP/1.0":         strings.Replace(withChunks("chunked", oneChunk+lastChunk), "/1.1", "/1.0", 1),
 	}
 	for _, line := range []string{
 		"HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
@@ -33,10 +35,27 @@
 	}
 	for _, line := range []string{
 		"X Bad: 1", "X-Bad : 1", " X-Bad: 1", "X\tBad: 1", "X\x00Bad: 1", "X\x01Bad: 1", "X\x7fBad: 1", "X\rBad: 1", "X\nBad: 1", "\nX-Bad: 1", "X\xe4Bad: 1", "X(Bad): 1",
-		": 1", "X-Bad", "X-Bad: 1\r\n 2", "X-Bad: 1\x002", "X-Bad: 1\x012", "X-Bad: 1\x7f2", "X-Bad: 1\r2", "X-Bad: 1\nX-Bad: 1",
+		": 1", "X-Bad", "X-Bad: 1\r\n 2", "X-Bad: 1\x002", "X-Bad: 1\x012", "X-Bad: 1\x7f2", "X-Bad: 1\r2", "X-Bad: 1\nX-Bad: 1", "Content-Length: 1",
 	} {
 		all[line] = strings.Replace(sound, "Content", line+"\r\nContent", 1)
 	}
+	for _, line := range []string{
+		"Content Length: 2", "Content-Length : 2", "Content-\x01Length: 2", "Content-Length: 2, 1", "Content-Length: +2", "Content-Length: -2",
+		"Content-Length: 0x2", "Content-Length: 2 2", "Content-Length:", "Content-Length: 18446744073709551618",
+	} {
+		all[line] = strings.Replace(sound, "Content-Length: 2", line, 1)
+	}
+	for _, coding := range []string{"gzip", "gzip, chunked", "identity", "chunked, chunked", "chunked;a=b", ""} {
+		all["coding "+coding] = withChunks(coding, oneChunk+lastChunk)
+	}
+	for _, chunks := range []string{
+		"2 \r\nok\r\n" + lastChunk, " " + oneChunk + lastChunk, "+" + oneChunk + lastChunk, "0x" + oneChunk + lastChunk, "\r\nok\r\n" + lastChunk,
+		"10000000000000002\r\nok\r\n" + lastChunk, "2\nok\r\n" + lastChunk, "2;a=\x01\r\nok\r\n" + lastChunk, "2\r\nokay\r\n" + lastChunk,
+		"2\r\nok" + lastChunk, oneChunk + "0\r\nX Bad: 1\r\n\r\n", oneChunk + "0\r\nX-Bad: \x01\r\n\r\n", oneChunk + "0\r\nX-Bad\r\n\r\n",
+		oneChunk + "0\r\nX-Good: 1\r\n",
+	} {
+		all["chunks "+chunks] = withChunks("chunked", chunks)
+	}
 	return all
 }
 
@@ -118,9 +137,18 @@
 		"until the end":           ok + "\r\nok",
 		"no blank before a value": ok + "Content-Length:2\r\n\r\nok",
 		"blanks around a value":   ok + "Content-Length: \t2\t \r\n\r\nok",
+		"the same length twice":   ok + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+		"list of one length":      ok + "Content-Length: 2, 2\r\n\r\nok",
+		"length with zeros":       ok + "Content-Length: 002\r\n\r\nok",
 		"name in lower case":      ok + "content-length: 2\r\n\r\nok",
 		"all bytes of a token":    ok + "!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok",
 		"unusual values":          ok + "X-A:\r\nX-B: a\tb \xff\r\nContent-Length: 2\r\n\r\nok",
+		"chunks":                  withChunks("chunked", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n"),
+		"chunks in upper case":    withChunks("CHUNKED", "2\r\nok\r\n000\r\n\r\n"),
+		"empty list elements":     withChunks(", chunked,", "2\r\nok\r\n0\r\n\r\n"),
+		"chunk extensions":        withChunks("chunked", "2;a;b=\"c d\" ; e=f\r\nok\r\n0;a\r\n\r\n"),
+		"chunk size with zeros":   withChunks("chunked", "00000000000000000002\r\nok\r\n0\r\n\r\n"),
+		"trailers":                withChunks("chunked", "2\r\nok\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\n"),
 		"interim answers":         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/basillift/blforwarder/request.go
+++ b/basillift/blforwarder/request.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"basillift.dev/basillift/blhttp"
 )
 
 var (
@@ -192,29 +194,7 @@
 	if size < 0 {
 		return &chunkedBody{reader: reader, chunked: httputil.NewChunkedReader(reader)}
 	}
-	return &sizedBody{reader: reader, left: size}
-}
-
-// sizedBody reads a body of known size.
-type sizedBody struct {
-	reader *bufio.Reader
-	left   int
-}
-
-// Read implements io.Reader.
-func (s *sizedBody) Read(p []byte) (int, error) {
-	if s.left == 0 {
-		return 0, io.EOF
-	}
-	n, err := s.reader.Read(p[:min(len(p), s.left)])
-	s.left -= n
-	if errors.Is(err, io.EOF) && s.left > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	if s.left == 0 {
-		return n, io.EOF
-	}
-	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+	return blhttp.NewSizedReader(reader, size)
 }
 
 // chunkedBody reads a chunked body and discards its trailer.
--- a/basillift/blhttp/framing.go
+++ b/basillift/blhttp/framing.go
@@ -23,6 +23,7 @@
 // parseFramingFields sets the length, whether the body is in chunks, and the connection options.
 func (h *Head) parseFramingFields() error {
 	var codings []string
+	hasCoding := false
 	h.length = LengthUntilClose
 	for name, value := range h.Fields() {
 		switch {
@@ -31,14 +32,20 @@
 				return err
 			}
 		case strings.EqualFold(name, "Transfer-Encoding"):
+			hasCoding = true
 			codings = append(codings, listElements(value)...)
 		case strings.EqualFold(name, "Connection"):
 			h.options += "," + value
 		}
 	}
-	h.chunked = len(codings) > 0 && strings.EqualFold(codings[len(codings)-1], "chunked")
-	if h.chunked {
-		h.length = LengthUnknown
+	h.chunked = len(codings) == 1 && strings.EqualFold(codings[0], "chunked")
+	switch {
+	case hasCoding && !h.chunked:
+		return malformed("transfer coding %.40q", strings.Join(codings, ","))
+	case hasCoding && h.length >= 0:
+		return malformed("both a length and a transfer coding")
+	case hasCoding && h.minor == '0':
+		return malformed("transfer coding in HTTP/1.0")
 	}
 	return nil
 }
--- a/basillift/blhttp/head.go
+++ b/basillift/blhttp/head.go
@@ -21,7 +21,7 @@
 	ErrTruncated = eris.New("truncated response")
 )
 
-// maxHeadBytes bounds the head of a response.
+// maxHeadBytes bounds the head of a response, and the trailers of one.
 const maxHeadBytes = 16 << 10
 
 // Values of Head.Length that are no length.
@@ -175,7 +175,7 @@
 	return fields, nil
 }
 
-// parseField parses a line of a head (RFC 9112, section 5). A name ends at the colon: the proxies on a path do not
+// parseField parses a line of a head or of trailers (RFC 9112, section 5). A name ends at the colon: the proxies on a path do not
 // agree on what a name with a blank means.
 func parseField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
