blforwarder: answers that are malformed or end early are logged with their reason

Cause: the error behind a broken answer was dropped where it was read, so that a 502 said "broken/target" and no more.

Change: event 703 names the request's id, the address that the answer came from and what is wrong with it, on the daemon that read it, also if the request is sent again and for a large answer that ends early. It shares the rate limit of the lines about requests. All exchanges are made by one function, which sets the log.

Evidence: TestInvalidAnswerIsLogged; without the event there was no line.

--- a/basillift/blforwarder/answerdeadlines.go
+++ b/basillift/blforwarder/answerdeadlines.go
@@ -129,10 +129,7 @@
 	body := strings.Join(ids, "\n")
 	header := "POST / HTTP/1.1\r\nHost: " + daemon + "\r\n" + headerDeadlines + ": " + formatMicroseconds(d.answerBy.Sub(now)) +
 		"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	e := &exchange{
-		pool: d.forwarder.pools.Of(daemon), request: &request{method: http.MethodPost, body: []byte(body)}, header: []byte(header),
-		deadline: now.Add(deadlineAnnounceTimeout),
-	}
+	e := d.forwarder.newExchange(daemon, &request{method: http.MethodPost, body: []byte(body)}, []byte(header), now.Add(deadlineAnnounceTimeout))
 	received, err := e.run(ctx, now)
 	if err != nil {
 		return nil, fmt.Errorf("send deadlines to daemon %s: %w", daemon, err)
--- a/basillift/blforwarder/answerstream.go
+++ b/basillift/blforwarder/answerstream.go
@@ -50,6 +50,7 @@
 	a.returned = true
 	a.mutex.Unlock()
 	e.finish(a.ahead.complete() && reusable)
+	e.logInvalid(a.ahead.err)
 }
 
 // onReceived calls a function once the answer was read from the target to its end, or no more of it is needed. A caller that
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/blpool"
 )
 
@@ -28,6 +29,7 @@
 
 // exchange is one request and its answer on one connection.
 type exchange struct {
+	log      *requestLog
 	pool     *blpool.Pool
 	conn     *blpool.Conn
 	request  *request
@@ -51,6 +53,14 @@
 	unsent          bool
 }
 
+// newExchange returns the exchange of a request with a target or another daemon.
+func (f *Forwarder) newExchange(address string, r *request, header []byte, deadline time.Time) *exchange {
+	return &exchange{
+		log: f.requestLog, pool: f.pools.Of(address), request: r, header: header, deadline: deadline,
+		idHeader: f.settings.headerNames.RequestID(),
+	}
+}
+
 // sender writes a large request while another goroutine waits for the answer.
 type sender struct {
 	exchange *exchange
@@ -91,6 +101,7 @@
 	a, err := e.roundTrip()
 	if err != nil {
 		e.finish(false)
+		e.logInvalid(err)
 		// The sender has ended, so that nothing more is written.
 		e.unsent = conn.Written() == 0
 		return nil, err
@@ -228,6 +239,13 @@
 	return nil
 }
 
+// logInvalid logs an answer that is malformed or ended early.
+func (e *exchange) logInvalid(err error) {
+	if e.log != nil && (errors.Is(err, blhttp.ErrMalformed) || errors.Is(err, blhttp.ErrTruncated)) {
+		e.log.logInvalidAnswer(time.Now(), e.request.header(e.idHeader), e.conn.RemoteAddr().String(), err)
+	}
+}
+
 // finish returns the connection to the pool, or closes it if it cannot be reused or the request was not sent
 // completely. After that the sender does not read from the caller's connection.
 func (e *exchange) finish(reusable bool) {
--- a/basillift/blforwarder/feed.go
+++ b/basillift/blforwarder/feed.go
@@ -84,12 +84,9 @@
 func (f *Forwarder) RequestFeed(ctx context.Context, daemon string, query basillift.FeedRequest) (basillift.FeedResponse, error) {
 	now := time.Now()
 	header := "GET / HTTP/1.1\r\nHost: " + daemon + "\r\n" + headerFeed + ": " + formatFeedRequest(query) + "\r\n\r\n"
-	e := &exchange{
-		pool: f.pools.Of(daemon), request: &request{method: http.MethodGet}, header: []byte(header),
-		deadline: now.Add(query.Wait() + maxTableDelay),
-		// A request that does not wait looks for another reader after one has failed.
-		newConnection: query.Wait() == 0,
-	}
+	e := f.newExchange(daemon, &request{method: http.MethodGet}, []byte(header), now.Add(query.Wait()+maxTableDelay))
+	// A request that does not wait looks for another reader after one has failed.
+	e.newConnection = query.Wait() == 0
 	if query.CompleteRevision() > 0 {
 		e.deadline = now.Add(query.Wait() + maxChangesDelay)
 	}
--- a/basillift/blforwarder/healthcheck.go
+++ b/basillift/blforwarder/healthcheck.go
@@ -32,10 +32,8 @@
 func (h *healthCheck) run(ctx context.Context) {
 	f := h.target.forwarder
 	began := time.Now()
-	e := &exchange{
-		pool: f.pools.Of(f.settings.targetAddress), request: &request{method: http.MethodGet}, header: h.header(),
-		deadline: began.Add(healthTimeout), newConnection: true,
-	}
+	e := f.newExchange(f.settings.targetAddress, &request{method: http.MethodGet}, h.header(), began.Add(healthTimeout))
+	e.newConnection = true
 	e.begun = func() { h.target.observeAnswer(time.Now(), began, e.conn) }
 	received, err := e.run(ctx, began)
 	answer := blwarmup.NewHealthFailure(failedHealthResult(e, err))
--- a/basillift/blforwarder/malformedanswer_test.go
+++ b/basillift/blforwarder/malformedanswer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +14,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"basillift.dev/basillift/blfleet"
+	"basillift.dev/basillift/bllog"
+	"basillift.dev/basillift/bltable"
 )
 
 // malformedAnswers are answers that RFC 9112 does not allow, by what is wrong with them. Taken for an answer, each has a body of two
@@ -123,6 +129,31 @@
 	})
 }
 
+// Guards against a broken answer whose reason no operator can find.
+func TestInvalidAnswerIsLogged(t *testing.T) {
+	for name, tc := range map[string]struct{ text, reason string }{
+		"malformed": {malformedAnswers()["HTTP/1.1 000 "], `status line \"HTTP/1.1 000 \"`},
+		"truncated": {okHeader + "Content-Length: 3\r\n\r\nok", "the connection ended within the body"},
+		"no answer": {"", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			log, err := bllog.New(&out, "info", "vm1")
+			is.NoErr(err)
+			target := startTarget(t, answerOnce(tc.text))
+			s := NewSettings("", "", "").WithHeaderNames(testHeaderNames)
+			f := New(s, bltable.NewHolder(), blfleet.New(), log, rand.New(rand.NewSource(1)))
+			r := &request{method: http.MethodGet, fields: []field{{"X-Id", "7"}}}
+			now := time.Now()
+			_, err = f.newExchange(target.address, r, []byte(get("7", "/get/x")), now.Add(hangGuard)).run(t.Context(), now)
+			is.True(err != nil)
+			is.Equal(strings.Contains(out.String(), `"event":703,"message":"answer is not valid","id":"7","from":"`+target.address), tc.reason != "")
+			is.True(strings.Contains(out.String(), tc.reason))
+		})
+	}
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestWellFormedAnswers(t *testing.T) {
 	const head = "X-Id: ID\r\nX-Seal: s\r\n"
--- a/basillift/blforwarder/requestlog.go
+++ b/basillift/blforwarder/requestlog.go
@@ -58,8 +58,17 @@
 	return omitted, true
 }
 
-// startLine starts a log line about a request. It returns false if the line is omitted.
+// startLine starts a log line about the end of a request. It returns false if the line is omitted.
 func (rl *requestLog) startLine(now time.Time, id string, a *answer) (*zerolog.Event, bool) {
+	line, ok := rl.newLine(now, bllog.RequestEnded())
+	if !ok {
+		return nil, false
+	}
+	return line.Str("id", id).Int("status", a.status).Str("outcome", string(a.outcome)).Str("reason", string(a.reason)), true
+}
+
+// newLine starts a log line about a request. It returns false if the line is omitted.
+func (rl *requestLog) newLine(now time.Time, e bllog.Entry) (*zerolog.Event, bool) {
 	if rl.log == nil {
 		return nil, false
 	}
@@ -70,8 +79,7 @@
 	if omitted > 0 {
 		rl.log.Event(bllog.LinesOmitted()).Int("count", omitted).Send()
 	}
-	return rl.log.Event(bllog.RequestEnded()).Str("id", id).
-		Int("status", a.status).Str("outcome", string(a.outcome)).Str("reason", string(a.reason)), true
+	return rl.log.Event(e), true
 }
 
 // logUnrouted logs a request that was answered without an attempt.
@@ -99,6 +107,13 @@
 	line.Send()
 }
 
+// logInvalidAnswer logs an answer that is malformed or ended early. from is the address of the target or the daemon that sent it.
+func (rl *requestLog) logInvalidAnswer(now time.Time, id, from string, err error) {
+	if line, ok := rl.newLine(now, bllog.AnswerInvalid()); ok {
+		line.Str("id", id).Str("from", from).Err(err).Send()
+	}
+}
+
 // formatAttempts writes "instance result/reason duration@age" for each attempt. The age is that of the load report by
 // which the target was chosen.
 func formatAttempts(attempts []attemptRecord) string {
--- a/basillift/blforwarder/send.go
+++ b/basillift/blforwarder/send.go
@@ -33,9 +33,7 @@
 		}
 	}
 	now := time.Now()
-	e := &exchange{
-		pool: f.pools.Of(t.Endpoint().Daemon()), request: rr.request, header: c.requestHeader(rr, now), deadline: rr.metadata.deadline,
-	}
+	e := f.newExchange(t.Endpoint().Daemon(), rr.request, c.requestHeader(rr, now), rr.metadata.deadline)
 	received, err := e.run(ctx, now)
 	if err != nil {
 		return unansweredAttempt(err, e.unsent)
--- a/basillift/blforwarder/suspicionannouncer.go
+++ b/basillift/blforwarder/suspicionannouncer.go
@@ -175,10 +175,7 @@
 		return err
 	}
 	header := "POST / HTTP/1.1\r\nHost: " + address + "\r\n" + headerSuspicions + ": " + digestOf(known) + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-	e := &exchange{
-		pool: s.forwarder.pools.Of(address), request: &request{method: http.MethodPost, body: body}, header: []byte(header),
-		deadline: now.Add(suspicionTimeout),
-	}
+	e := s.forwarder.newExchange(address, &request{method: http.MethodPost, body: body}, []byte(header), now.Add(suspicionTimeout))
 	received, err := e.run(ctx, now)
 	if err != nil {
 		return fmt.Errorf("send suspicions to daemon %s: %w", address, err)
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -235,10 +235,8 @@
 		return notRunAnswer(basillift.ReasonDeadline, 0), false
 	}
 	defer f.crashes.end(run)
-	e := &exchange{
-		pool: f.pools.Of(f.settings.targetAddress), request: r, header: t.requestHeader(r, meta, now), deadline: meta.deadline, connectBy: f.settings.sendBy(now, meta.deadline),
-		requestID: r.header(names.RequestID()), idHeader: names.RequestID(), notRunHeader: names.NotRun(),
-	}
+	e := f.newExchange(f.settings.targetAddress, r, t.requestHeader(r, meta, now), meta.deadline)
+	e.connectBy, e.requestID, e.notRunHeader = f.settings.sendBy(now, meta.deadline), r.header(names.RequestID()), names.NotRun()
 	e.begun = func() {
 		f.crashes.start(run)
 		f.cold.observeConnection(e.conn)
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -106,9 +106,7 @@
 func (c *callerSide) requestReservation(ctx context.Context, rr *routedRequest, daemon string) (refusal *answer, err error) {
 	f := c.forwarder
 	now := time.Now()
-	e := &exchange{
-		pool: f.pools.Of(daemon), request: &request{method: http.MethodGet}, header: c.reservationHeader(rr, daemon, now), deadline: rr.metadata.deadline,
-	}
+	e := f.newExchange(daemon, &request{method: http.MethodGet}, c.reservationHeader(rr, daemon, now), rr.metadata.deadline)
 	received, err := e.run(ctx, now)
 	if err != nil {
 		return nil, fmt.Errorf("request reservation: %w", err)
--- a/basillift/bllog/catalogue.go
+++ b/basillift/bllog/catalogue.go
@@ -25,7 +25,7 @@
 	return []Entry{
 		Started(), Stopping(), Stopped(), StartFailed(), StopTimedOut(), ListenFailed(), SettingsChanged(), SettingsRefused(),
 		VersionApplied(), VersionRefused(), PlatformFailed(), RevisionsWentBack(), PlatformReturned(), ReaderChanged(), WaitFailed(), PlatformListed(), PlatformRestored(), EvacuationBegun(), EvacuationEnded(), EvacuationUnreadable(),
-		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), TargetCold(), TargetWarm(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(),
+		MemberDied(), Paused(), TargetChanged(), TargetLimited(), TargetLeaving(), TargetCrashed(), TargetCold(), TargetWarm(), NoticeFailed(), NoticeSent(), LoopFailed(), RequestEnded(), LinesOmitted(), RequestQuarantined(), AnswerInvalid(),
 	}
 }
 
@@ -184,6 +184,11 @@
 	return Entry{702, zerolog.WarnLevel, "request is quarantined", "see docs/OPERATIONS.md, a request that crashes targets"}
 }
 
+// AnswerInvalid is logged for an answer of a target or another daemon that is no HTTP response or ended early.
+func AnswerInvalid() Entry {
+	return Entry{703, zerolog.WarnLevel, "answer is not valid", "mend the server at the address that the line names"}
+}
+
 // EventsPage returns the content of docs/events.md, generated from the catalogue and the kinds of timeline events.
 func EventsPage() string {
 	var page strings.Builder
