--- /dev/null
+++ b/basillift/blhttp/format.go
@@ -0,0 +1,44 @@
+package blhttp
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// AppendTo appends the head in its plain form: one field that tells where the body ends, one with the connection options, and
+// none that announces trailers, since Body drops them.
+func (h *Head) AppendTo(b []byte) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(h.status), 10)
+	b = append(append(append(b, ' '), http.StatusText(h.status)...), "\r\n"...)
+	for name, value := range h.Fields() {
+		if !isFraming(name) {
+			b = appendField(b, name, value)
+		}
+	}
+	switch {
+	case h.chunked && !h.bodyless:
+		b = appendField(b, "Transfer-Encoding", "chunked")
+	case h.length >= 0:
+		b = appendField(b, "Content-Length", strconv.Itoa(h.length))
+	}
+	if options := listElements(h.options); len(options) > 0 {
+		b = appendField(b, "Connection", strings.Join(options, ", "))
+	}
+	if !h.persistent {
+		b = appendField(b, "Connection", "close")
+	}
+	return append(b, "\r\n"...)
+}
+
+// isFraming reports whether AppendTo writes its own field instead of those with this name, or none.
+func isFraming(name string) bool {
+	return strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding") ||
+		strings.EqualFold(name, "Connection") || strings.EqualFold(name, "Trailer")
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(append(append(b, name...), ": "...), value...)
+	return append(b, "\r\n"...)
+}
--- a/basillift/blproxy/dispatch.go
+++ b/basillift/blproxy/dispatch.go
@@ -111,6 +111,7 @@
 	e := &exchange{call: k, pool: p.pools.Of(d.member.Addresses().Mesh()), body: d.body, ctx: d.ctx}
 	h := d.newHedge(now)
 	failed = e.send(now, d.out, &d.ctx.Response, p.settings.maxBufferedBytes)
+	p.recordInvalidAnswer(k, failed.cause())
 	if failed == nil {
 		failed = reportedFailure(&d.ctx.Response)
 		reported = failed != nil
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -1,21 +1,21 @@
 package blproxy
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/blpool"
 )
 
-var errProtocolSwitch = eris.New("unrequested protocol switch")
-
 // failure describes why an exchange returned no response and what is known about the request.
 type failure struct {
 	outcome basillift.Outcome
@@ -30,6 +30,14 @@
 		(f.reason == basillift.ReasonTarget || f.reason == basillift.ReasonTruncated)
 }
 
+// cause returns the error behind a failure, or nil.
+func (f *failure) cause() error {
+	if f == nil {
+		return nil
+	}
+	return f.err
+}
+
 // exchange is one request sent over one connection, and its response.
 type exchange struct {
 	call   *call
@@ -53,8 +61,7 @@
 		e.release(false)
 		return failed
 	}
-	skip := out.Header.IsHead()
-	err := readResponseHeader(e.conn, response)
+	head, err := e.readResponseHead(string(out.Header.Method()), response)
 	if err != nil {
 		e.stopSender()
 		failed = e.classify(err)
@@ -64,7 +71,7 @@
 	if e.sender != nil {
 		e.awaitSender(response.StatusCode())
 	}
-	return e.readResponse(response, skip, limit)
+	return e.readResponse(head, response, limit)
 }
 
 func (e *exchange) open(now time.Time) *failure {
@@ -124,22 +131,19 @@
 	return f
 }
 
-// readResponseHeader reads the header of the final response and skips informational ones.
-func readResponseHeader(c *blpool.Conn, response *fasthttp.Response) error {
+// readResponseHead reads the head of the final response. fasthttp, which accepts more than a response may be, gets a head that is
+// already checked.
+func (e *exchange) readResponseHead(method string, response *fasthttp.Response) (*blhttp.Head, error) {
 	response.ResetBody()
-	for {
-		err := response.Header.Read(c.Reader())
-		if err != nil {
-			return fmt.Errorf("read response: %w", err)
-		}
-		status := response.StatusCode()
-		if status == fasthttp.StatusSwitchingProtocols {
-			return fmt.Errorf("read response: %w", errProtocolSwitch)
-		}
-		if status >= fasthttp.StatusOK {
-			return nil
-		}
+	head, err := blhttp.ReadHead(e.conn.Reader(), method)
+	if err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
+	text := head.AppendTo(make([]byte, 0, 512))
+	if err = response.Header.Read(bufio.NewReaderSize(bytes.NewReader(text), len(text))); err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
 	}
+	return head, nil
 }
 
 // awaitSender waits until the request is sent. After an error response the rest of the body is not
@@ -169,23 +173,27 @@
 	<-e.sender.done
 }
 
-func (e *exchange) readResponse(response *fasthttp.Response, skip bool, limit int) *failure {
-	reusable := !response.ConnectionClose() && (e.sender == nil || e.sender.err == nil)
+func (e *exchange) readResponse(head *blhttp.Head, response *fasthttp.Response, limit int) *failure {
+	reusable := head.Persistent() && (e.sender == nil || e.sender.err == nil)
 	stripResponse(&response.Header)
-	size := response.Header.ContentLength()
-	status := response.StatusCode()
-	if skip || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	if head.Bodyless() {
 		response.SkipBody = true
 		e.release(reusable)
 		return nil
 	}
+	size := head.Length()
+	if size == blhttp.LengthUntilClose && e.sender != nil && blpool.BrokeOff(e.sender.err) {
+		failed := &failure{basillift.OutcomeUnknown, basillift.ReasonTruncated, fmt.Errorf("%w: %w", blhttp.ErrTruncated, e.sender.err)}
+		e.release(false)
+		return failed
+	}
 	if size < 0 || size > limit {
-		e.streamBody(response, size, reusable)
+		response.SetBodyStream(&responseStream{exchange: e, source: head.Body(e.conn.Reader()), reusable: reusable}, max(size, -1))
 		return nil
 	}
 	err := response.ReadBody(e.conn.Reader(), limit)
 	if err != nil {
-		failed := e.classify(err)
+		failed := e.classify(blhttp.BodyError(err))
 		if failed.reason == basillift.ReasonTarget {
 			failed.reason = basillift.ReasonTruncated
 		}
@@ -196,17 +204,6 @@
 	return nil
 }
 
-// streamBody replaces the body of the response with a responseStream. fasthttp closes a body
-// stream when another one replaces it, so a second response does the reading.
-func (e *exchange) streamBody(response *fasthttp.Response, size int, reusable bool) {
-	source := fasthttp.AcquireResponse()
-	response.Header.CopyTo(&source.Header)
-	source.StreamBody = true
-	_ = source.ReadBody(e.conn.Reader(), 0)
-	_ = response.Header.SetTrailer("")
-	response.SetBodyStream(&responseStream{exchange: e, source: source, reusable: reusable}, max(size, -1))
-}
-
 // release returns the connection to the pool or closes it.
 func (e *exchange) release(reusable bool) {
 	c := e.conn
@@ -226,10 +223,12 @@
 // caller and closes it afterwards, even if the caller has disconnected.
 type responseStream struct {
 	exchange *exchange
-	source   *fasthttp.Response
+	// source is nil once the stream is closed.
+	source   io.Reader
 	reusable bool
 	complete bool
-	failed   bool
+	// err is the error that ended the body before its end; nil for none.
+	err      error
 	endHooks []func(complete bool)
 }
 
@@ -240,15 +239,15 @@
 // terminating the body. The connection is reset so that the truncation is also visible for bodies
 // that end when the connection closes.
 func (r *responseStream) Read(p []byte) (int, error) {
-	n, err := r.source.BodyStream().Read(p)
+	n, err := r.source.Read(p)
 	if err == nil {
 		return n, nil
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		r.complete = true
 		return n, io.EOF
 	}
-	r.failed = true
+	r.err = err
 	r.exchange.call.conn.resetOnClose()
 	return n, fmt.Errorf("read response body: %w", err)
 }
@@ -258,8 +257,6 @@
 	if r.source == nil {
 		return nil
 	}
-	_ = r.source.CloseBodyStream()
-	fasthttp.ReleaseResponse(r.source)
 	r.source = nil
 	r.exchange.release(r.reusable && r.complete)
 	for _, end := range r.endHooks {
--- a/basillift/blproxy/failures_test.go
+++ b/basillift/blproxy/failures_test.go
@@ -38,6 +38,14 @@
 		{"half a header", "POST", "HTTP/1.1 200 OK\r\nConte", 502, basillift.ReasonTarget},
 		{"garbage", "POST", "220 mail.example\r\n\r\n", 502, basillift.ReasonTarget},
 		{"short body", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", 502, basillift.ReasonTruncated},
+		{"status 000", "POST", strings.Replace(okAnswer, "200", "000", 1), 502, basillift.ReasonTarget},
+		{"version 2.0", "POST", strings.Replace(okAnswer, "1.1", "2.0", 1), 502, basillift.ReasonTarget},
+		{"blank in a name", "POST", strings.Replace(okAnswer, "\r\n", "\r\nX Bad: 1\r\n", 1), 502, basillift.ReasonTarget},
+		{"blank behind a name", "POST", strings.Replace(okAnswer, "Length:", "Length :", 1), 502, basillift.ReasonTarget},
+		{"folded value", "POST", strings.Replace(okAnswer, "\r\n", "\r\nX-Bad: 1\r\n 2\r\n", 1), 502, basillift.ReasonTarget},
+		{"chunks in HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 502, basillift.ReasonTarget},
+		{"blank behind a chunk size", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n2 \r\nok\r\n0\r\n\r\n", 0, ""},
+		{"control byte in a trailer", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Bad: \x01\r\n\r\n", 0, ""},
 		{"protocol switch", "POST", "HTTP/1.1 101 Switching Protocols\r\n\r\n", 502, basillift.ReasonTarget},
 		{"truncated long body", "POST", long, 0, ""},
 		{"chunked body truncated after a chunk", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", 0, ""},
@@ -52,9 +60,13 @@
 					_, _ = io.WriteString(conn, c.reply)
 				}
 			})
-			caller, _ := startPair(t, target, nil)
+			caller, called := startPair(t, target, nil)
 			response, err := caller.try(t, c.method, "/catalogue/1", "goat")
 			is.New(t).Equal(runs.Load(), int32(1))
+			// Without a byte there was no answer.
+			eventually(t, func() bool {
+				return strings.Contains(called.mesh.eventKinds(), string(basillift.EventAnswerInvalid)) || c.reply == ""
+			})
 			if c.status == 0 {
 				is.New(t).True(err != nil) // the caller must see that the body is not whole
 				return
--- a/basillift/blproxy/finish.go
+++ b/basillift/blproxy/finish.go
@@ -1,11 +1,13 @@
 package blproxy
 
 import (
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 )
 
 // startCall counts a call as in flight and sets it as the call of its connection.
@@ -63,9 +65,10 @@
 			return
 		}
 		k.answered = false
-		if stream.failed && counters == &p.metrics.mesh && !k.isCanceled() {
+		if stream.err != nil && counters == &p.metrics.mesh && !k.isCanceled() {
 			p.checkForCrash()
 		}
+		p.recordInvalidAnswer(k, stream.err)
 		p.completeCall(k, basillift.EventCallTruncated, status, basillift.OutcomeUnknown, basillift.ReasonTruncated, counters)
 	})
 }
@@ -109,6 +112,13 @@
 	return p.settings.recording == RecordAll || p.settings.recording == level
 }
 
+// recordInvalidAnswer records an answer that is malformed or ended early.
+func (p *Proxy) recordInvalidAnswer(k *call, err error) {
+	if p.records(RecordRefused) && (errors.Is(err, blhttp.ErrMalformed) || errors.Is(err, blhttp.ErrTruncated)) {
+		p.recorder.Record(k.event(time.Now(), basillift.EventAnswerInvalid).WithDetail(err.Error()))
+	}
+}
+
 // recordStep records a successful step of a call.
 func (p *Proxy) recordStep(now time.Time, k *call, kind basillift.EventKind, target basillift.VMID) {
 	if p.records(RecordAll) {
--- a/basillift/blproxy/hedge.go
+++ b/basillift/blproxy/hedge.go
@@ -60,6 +60,7 @@
 	failed := &failure{basillift.OutcomeNotRun, basillift.ReasonDeadline, nil}
 	if d.call.setTimeout(now, out) {
 		failed = h.exchange.send(now, out, h.response, d.proxy.settings.maxBufferedBytes)
+		d.proxy.recordInvalidAnswer(d.call, failed.cause())
 	}
 	if failed == nil {
 		failed = reportedFailure(h.response)
--- a/basillift/blproxy/mesh.go
+++ b/basillift/blproxy/mesh.go
@@ -126,6 +126,7 @@
 	p.recordStep(now, k, basillift.EventCallStarted, "")
 	e := &exchange{call: k, pool: p.pools.Of(p.settings.targetAddress), body: b, ctx: ctx}
 	failed := e.send(now, out, &ctx.Response, p.settings.maxBufferedBytes)
+	p.recordInvalidAnswer(k, failed.cause())
 	p.reportTargetResult(now, k, b, failed)
 	if failed.brokeConnection() && b.readErr == nil && !k.isCanceled() {
 		p.checkForCrash()
--- a/basillift/blproxy/uploads_test.go
+++ b/basillift/blproxy/uploads_test.go
@@ -145,6 +145,49 @@
 	assertAnswer(t, readResponse(t, r), 413, "big")
 }
 
+// earlyAnswers is how often a test repeats an upload whose fate depends on which goroutine sees a reset first.
+const earlyAnswers = 4
+
+// TestEarlyAnswerWithoutLength guards against a part of a response that is forwarded as complete: a reset is reported to the
+// goroutine that still writes the request, and the read then sees the end of a body without a length.
+func TestEarlyAnswerWithoutLength(t *testing.T) {
+	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) {
+			answered := make(chan struct{})
+			target := startRaw(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := r.ReadString('\n'); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				<-answered
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					return
+				}
+				_ = conn.(*net.TCPConn).CloseWrite()
+				waitClosed(r)
+			})
+			caller, _ := startPair(t, target, withLongTimeouts)
+			for range earlyAnswers {
+				c, r := dialCaller(t, caller, fmt.Sprintf("POST /catalogue/map%sContent-Length: %d\r\n\r\n", requestHead, 4<<20))
+				go func() { _, _ = io.Copy(c, io.LimitReader(zeros{}, 4<<20)) }()
+				time.Sleep(5 * time.Millisecond)
+				answered <- struct{}{}
+				response := &fasthttp.Response{}
+				err := response.Read(r)
+				_ = c.Close()
+				if reset && err == nil && response.StatusCode() == 200 {
+					t.Fatalf("a part of a response is complete: %q", response.Body())
+				}
+				if !reset {
+					requireNoError(t, err)
+					assertAnswer(t, response, 200, "part")
+				}
+			}
+		})
+	}
+}
+
 // TestExpect guards against requesting the body of an upload that will be refused.
 func TestExpect(t *testing.T) {
 	caller, _ := startPair(t, startTarget(t, echo), nil)
--- a/basillift/event.go
+++ b/basillift/event.go
@@ -30,6 +30,7 @@
 	EventCallRefused     EventKind = "call.refused"
 	EventCallAnswered    EventKind = "call.answered"
 	EventCallTruncated   EventKind = "call.cut"
+	EventAnswerInvalid   EventKind = "answer.invalid"
 	EventKeyClaimed      EventKind = "key.claimed"
 	EventKeySettled      EventKind = "key.settled"
 	EventTargetCrashed   EventKind = "target.crashed"
--- a/basillift/eventkinds.go
+++ b/basillift/eventkinds.go
@@ -38,6 +38,7 @@
 		{EventCallRefused, "a daemon refuses a call"},
 		{EventCallAnswered, "the caller's daemon has passed the whole answer to its caller"},
 		{EventCallTruncated, "an answer or a call ended before it was whole"},
+		{EventAnswerInvalid, "an answer of a target or another daemon is no HTTP response or ended early; detail says how"},
 		{EventKeyClaimed, "an idempotency key is claimed for a call"},
 		{EventKeySettled, "the answer of a claimed call is stored"},
 		{EventTargetCrashed, "the connection to the target broke and it refuses new ones"},
