Clients of targets, platforms, daemons and receivers of notices refuse malformed responses

What operators would see: a target that answers its health check with 000 counts as healthy, its load report is believed, a notice counts as delivered and a drain as begun, since fasthttp returns 200 for 000. A platform or a registry whose answer has a folded value, a name with a blank, HTTP/2.0, a length beside chunks or malformed chunks and trailers is believed by net/http.

Cause: these clients took the reading of their library.

Change: connections of blhttp return checked responses in a plain form, so that the libraries have nothing left to repair.

--- a/basillift/bladmin/client.go
+++ b/basillift/bladmin/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/blnode"
 	"basillift.dev/basillift/blnotice"
 	"basillift.dev/basillift/bltimeline"
@@ -38,6 +39,7 @@
 	return &Client{address: address, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxResponseBytes,
 		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
+		DialTimeout: blhttp.Dial,
 	}}
 }
 
--- a/basillift/blhttp/doc.go
+++ b/basillift/blhttp/doc.go
@@ -10,5 +10,9 @@
 //	head, err := blhttp.ReadHead(reader, http.MethodGet)
 //	body := head.Body(reader) // io.EOF at the end; any other error means that the response is not complete
 //
+// A client of net/http or fasthttp reads only checked responses if its connections are those of NewConn:
+//
+//	transport := blhttp.CheckResponses(&http.Transport{}, &net.Dialer{})
+//
 // Errors wrap ErrMalformed for bytes that are no response, and ErrTruncated for a response that ended early.
 package blhttp
--- a/basillift/blnotice/service.go
+++ b/basillift/blnotice/service.go
@@ -1,17 +1,21 @@
 package blnotice
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/bllog"
 )
 
@@ -23,10 +27,15 @@
 	observeInterval = time.Second
 	// deliveryTimeout limits one HTTP POST to the operators' receiver.
 	deliveryTimeout = 5 * time.Second
+	// idleTimeout closes the connection to the receiver between notices.
+	idleTimeout = 10 * time.Second
 	// reportTimeout limits a report to the notifier, which may deliver the notice before it answers.
 	reportTimeout = 2 * deliveryTimeout
 )
 
+// maxResponseBytes is how much of a receiver's response is read. Its content does not matter, but that it is complete.
+const maxResponseBytes = 64 << 10
+
 // ErrDelivery means that the receiver of notices did not accept one.
 var ErrDelivery = eris.New("notice not accepted")
 
@@ -42,7 +51,7 @@
 	log         *bllog.Logger
 	detect      Detector
 	receiverURL string
-	client      *fasthttp.Client
+	client      *http.Client
 	observer    *Observer
 
 	mutex   sync.Mutex
@@ -54,7 +63,11 @@
 func NewService(d basillift.Directory, p basillift.Peers, r basillift.Recorder, l *bllog.Logger, detect Detector, url string) *Service {
 	return &Service{
 		directory: d, peers: p, recorder: r, log: l, detect: detect, receiverURL: url,
-		client:   &fasthttp.Client{MaxIdemponentCallAttempts: 1, ReadTimeout: deliveryTimeout, WriteTimeout: deliveryTimeout},
+		client: &http.Client{
+			Transport: blhttp.CheckResponses(&http.Transport{IdleConnTimeout: idleTimeout}, &net.Dialer{}), Timeout: deliveryTimeout,
+			// A redirect is not an acceptance.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		observer: NewObserver(), tracker: NewAlertTracker(),
 	}
 }
@@ -190,18 +203,16 @@
 	if err != nil {
 		return fmt.Errorf("encode notice: %w", err)
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(s.receiverURL)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetContentType("application/json")
-	request.SetBody(body)
-	if err := s.client.DoTimeout(request, response, deliveryTimeout); err != nil {
+	response, err := s.client.Post(s.receiverURL, "application/json", bytes.NewReader(body))
+	if err != nil {
 		return fmt.Errorf("post notice: %w", errors.Join(ErrDelivery, err))
 	}
-	if response.StatusCode()/100 != 2 {
-		return fmt.Errorf("post notice: status %d: %w", response.StatusCode(), ErrDelivery)
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("post notice: status %d: %w", response.StatusCode, ErrDelivery)
+	}
+	if _, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err != nil {
+		return fmt.Errorf("post notice: %w", errors.Join(ErrDelivery, err))
 	}
 	return nil
 }
--- a/basillift/blplatform/client.go
+++ b/basillift/blplatform/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/bllist"
 )
 
@@ -79,7 +81,7 @@
 	if (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
 		return nil, eris.Errorf("platform URL: found %q; allowed: http://HOST:PORT or https://HOST:PORT", base)
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	transport := blhttp.CheckResponses(&http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}, &net.Dialer{})
 	c := &Client{
 		keysURL:   parsed.JoinPath("v1", "keys").String(),
 		client:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
--- a/basillift/bltarget/poller.go
+++ b/basillift/bltarget/poller.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/blroute"
 )
 
@@ -68,7 +69,7 @@
 		client: &fasthttp.HostClient{
 			Addr: s.address, ReadTimeout: s.timeout, WriteTimeout: s.timeout, MaxConns: 2,
 			MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: 2 * s.interval, MaxResponseBodySize: maxReportBytes,
-			Dial: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, s.timeout) },
+			Dial: func(address string) (net.Conn, error) { return blhttp.Dial(address, s.timeout) },
 		},
 	}
 }
