blhttp, blpool: names and comments; tests share stand-ins

ConnectionBroken says what the error of a write means. Stand-ins that answer before they have read a request take over the connection of an HTTP server. TestBadAnswers has the status 000 as a case too: both attempts of an idempotent request are counted.

--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -233,7 +233,7 @@
 		}
 		<-e.sender.done
 	}
-	if blpool.BrokeOff(e.sender.err) {
+	if blpool.ConnectionBroken(e.sender.err) {
 		return e.sender.err
 	}
 	return nil
--- a/basillift/blforwarder/forwarding_test.go
+++ b/basillift/blforwarder/forwarding_test.go
@@ -137,6 +137,7 @@
 			return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
 		}, false),
 		"not HTTP":        write(func(string) string { return "garbage\r\n\r\n" }, false),
+		"status 000":      write(func(id string) string { return strings.Replace(okAnswer(id, "X-Seal: s\r\n"), "200", "000", 1) }, true),
 		"without a seal":  write(func(id string) string { return okAnswer(id, "") }, true),
 		"with another id": write(func(string) string { return okAnswer("other", "X-Seal: s\r\n") }, false),
 		"encoded":         write(func(id string) string { return okAnswer(id, "X-Seal: s\r\nContent-Encoding: gzip\r\n") }, true),
--- a/basillift/blforwarder/malformedanswer_test.go
+++ b/basillift/blforwarder/malformedanswer_test.go
@@ -1,13 +1,13 @@
 package blforwarder
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,8 +20,7 @@
 	"basillift.dev/basillift/bltable"
 )
 
-// malformedAnswers are answers that RFC 9112 does not allow, by what is wrong with them. Taken for an answer, each has a body of two
-// bytes.
+// malformedAnswers are answers that RFC 9112 does not allow, by what is wrong with them.
 func malformedAnswers() map[string]string {
 	const rest = "X-Id: ID\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok"
 	const sound, oneChunk, lastChunk = "HTTP/1.1 200 OK\r\n" + rest, "2\r\nok\r\n", "0\r\n\r\n"
@@ -89,7 +88,7 @@
 	return m
 }
 
-// eachCaller runs a test from the target's own VM and from another one. The number of the caller's daemon follows the name.
+// eachCaller runs a test with a caller at the daemon of the target's VM, and at that of another one.
 func eachCaller(t *testing.T, test func(t *testing.T, daemon int)) {
 	t.Helper()
 	for daemon, from := range []string{"own VM", "other VM"} {
@@ -118,10 +117,7 @@
 	eachCaller(t, func(t *testing.T, daemon int) {
 		var answered atomic.Bool
 		malformedOnce := func(w net.Conn, r *http.Request, body []byte) bool {
-			if answered.Swap(true) {
-				return answerOK(w, r, body)
-			}
-			return writeAnswer(w, r, malformedAnswers()["HTTP/1.1 000 "])
+			return answered.Swap(true) && answerOK(w, r, body) || writeAnswer(w, r, malformedAnswers()["HTTP/1.1 000 "])
 		}
 		c := startMesh(t, startTarget(t, malformedOnce), startTarget(t, malformedOnce)).dial(t, daemon)
 		c.send(get("1", "/get/x"))
@@ -142,8 +138,7 @@
 			log, err := bllog.New(&out, "info", "vm1")
 			is.NoErr(err)
 			target := startTarget(t, answerOnce(tc.text))
-			s := NewSettings("", "", "").WithHeaderNames(testHeaderNames)
-			f := New(s, bltable.NewHolder(), blfleet.New(), log, rand.New(rand.NewSource(1)))
+			f := New(NewSettings("", "", "").WithHeaderNames(testHeaderNames), bltable.NewHolder(), blfleet.New(), log, rand.New(rand.NewSource(1)))
 			r := &request{method: http.MethodGet, fields: []field{{"X-Id", "7"}}}
 			now := time.Now()
 			_, err = f.newExchange(target.address, r, []byte(get("7", "/get/x")), now.Add(hangGuard)).run(t.Context(), now)
@@ -195,57 +190,41 @@
 // Guards against an answer to HEAD, or without content, that is read with a body, and against the length of a body that a 204
 // must not have.
 func TestAnswersWithoutBody(t *testing.T) {
+	head, sized := "X-Id: ID\r\nX-Seal: s\r\n", "Content-Length: 7\r\n\r\n"
 	for name, tc := range map[string]struct{ method, text, length string }{
-		"HEAD":         {"HEAD", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n", "7"},
+		"HEAD":         {"HEAD", "HTTP/1.1 200 OK\r\n" + head + sized, "7"},
 		"HEAD, chunks": {"HEAD", withChunks("chunked", ""), ""},
-		"204":          {"GET", "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n", ""},
-		"304":          {"GET", "HTTP/1.1 304 Not Modified\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 7\r\n\r\n", "7"},
+		"204":          {"GET", "HTTP/1.1 204 No Content\r\n" + head + sized, ""},
+		"304":          {"GET", "HTTP/1.1 304 Not Modified\r\n" + head + sized, "7"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			eachCaller(t, func(t *testing.T, daemon int) {
-				is := is.New(t)
 				f := startTarget(t, func(w net.Conn, r *http.Request, body []byte) bool {
-					if r.URL.Path == "/get/next" {
-						return answerOK(w, r, body)
-					}
-					return writeAnswer(w, r, tc.text)
+					return r.URL.Path == "/get/next" && answerOK(w, r, body) || writeAnswer(w, r, tc.text)
 				})
 				c := startMeshOfOne(t, f).dial(t, daemon)
-				c.send(strings.Replace(get("1", "/get/x"), "GET", tc.method, 1))
+				c.send(strings.Replace(get("1", "/get/x"), "GET", tc.method, 1) + get("2", "/get/next"))
 				r, err := http.ReadResponse(c.reader, &http.Request{Method: tc.method})
-				is.NoErr(err)
-				is.Equal(r.Header.Get("X-Seal"), "s")
-				is.Equal(r.Header.Get("Content-Length"), tc.length)
-				c.send(get("2", "/get/next"))
+				is.New(t).NoErr(err)
+				is.New(t).Equal(r.Header.Get("X-Seal"), "s")
+				is.New(t).Equal(r.Header.Get("Content-Length"), tc.length)
 				c.assertAnswer(http.StatusOK, "/get/next ")
 			})
 		})
 	}
 }
 
-// startEarlyTarget serves a target that answers each request as soon as some of its body has arrived, without a length, and then
-// ends the connection in its own way.
+// startEarlyTarget serves a target that answers each request before it has read the body, without a length, and then ends the
+// connection in its own way.
 func startEarlyTarget(t *testing.T, part string, end func(*net.TCPConn)) *fakeTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				r, err := http.ReadRequest(bufio.NewReader(io.LimitReader(conn, 64<<10)))
-				if err == nil {
-					_ = writeAnswer(conn, r, okHeader+"\r\n"+part)
-				}
-				end(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return &fakeTarget{address: l.Addr().String(), listener: l}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_ = writeAnswer(conn, r, okHeader+"\r\n"+part)
+		end(conn.(*net.TCPConn))
+	}))
+	t.Cleanup(server.Close)
+	return &fakeTarget{address: server.Listener.Addr().String(), listener: server.Listener}
 }
 
 // eachUpload sends uploads of some MB one after the other and passes each caller to a function.
--- a/basillift/blhttp/conn.go
+++ b/basillift/blhttp/conn.go
@@ -24,14 +24,14 @@
 	chunked bool
 	// untilClose is set if the body ends with the connection.
 	untilClose bool
-	// ahead are checked bytes that were not read yet.
-	ahead []byte
-	err   error
+	// pending are checked bytes that were not read yet.
+	pending []byte
+	err     error
 }
 
-// NewConn returns a connection of a client whose Read returns responses in the form of Head.AppendTo, and fails at the first byte
-// of one that is malformed. Interim responses are dropped. The client must send its requests one after the other, and none with
-// the method HEAD or CONNECT.
+// NewConn returns a connection of a client whose Read returns responses in the form of Head.AppendTo, and fails where one is
+// malformed. Interim responses are dropped. The client must send its requests one after the other, and none with the method HEAD or
+// CONNECT.
 func NewConn(c net.Conn) net.Conn {
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, maxHeadBytes)}
 }
@@ -47,7 +47,7 @@
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
-	for len(c.ahead) == 0 && c.err == nil {
+	for len(c.pending) == 0 && c.err == nil {
 		if c.body == nil {
 			c.err = c.readHead()
 			continue
@@ -62,11 +62,11 @@
 		}
 		c.readChunk()
 	}
-	if len(c.ahead) == 0 {
+	if len(c.pending) == 0 {
 		return 0, c.err
 	}
-	n := copy(p, c.ahead)
-	c.ahead = c.ahead[n:]
+	n := copy(p, c.pending)
+	c.pending = c.pending[n:]
 	return n, nil
 }
 
@@ -79,7 +79,7 @@
 		}
 		return err
 	}
-	c.ahead = h.AppendTo(c.ahead[:0])
+	c.pending = h.AppendTo(c.pending[:0])
 	if h.length != 0 && !h.bodyless {
 		c.body, c.chunked, c.untilClose = h.Body(c.reader), h.chunked, h.length == LengthUntilClose
 	}
@@ -91,10 +91,10 @@
 	data := make([]byte, chunkBytes)
 	n, err := c.body.Read(data)
 	if n > 0 {
-		c.ahead = fmt.Appendf(c.ahead[:0], "%x\r\n%s\r\n", n, data[:n])
+		c.pending = fmt.Appendf(c.pending[:0], "%x\r\n%s\r\n", n, data[:n])
 	}
 	if errors.Is(err, io.EOF) {
-		c.ahead = append(c.ahead, "0\r\n\r\n"...)
+		c.pending = append(c.pending, "0\r\n\r\n"...)
 	}
 	c.endBody(err)
 }
--- a/basillift/blhttp/format.go
+++ b/basillift/blhttp/format.go
@@ -6,14 +6,14 @@
 	"strings"
 )
 
-// AppendTo appends the head in its plain form: one field that tells where the body ends, one with the connection options, and
-// none that announces trailers, since Body drops them.
+// AppendTo appends the head in canonical form: one field tells where the body ends, one has the connection options, and none announces
+// trailers, since Body drops them.
 func (h *Head) AppendTo(b []byte) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(h.status), 10)
 	b = append(append(append(b, ' '), http.StatusText(h.status)...), "\r\n"...)
 	for name, value := range h.Fields() {
-		if !isFraming(name) {
+		if !replaced(name) {
 			b = appendField(b, name, value)
 		}
 	}
@@ -23,17 +23,18 @@
 	case h.length >= 0:
 		b = appendField(b, "Content-Length", strconv.Itoa(h.length))
 	}
-	if options := listElements(h.options); len(options) > 0 {
-		b = appendField(b, "Connection", strings.Join(options, ", "))
-	}
+	options := listElements(h.options)
 	if !h.persistent {
-		b = appendField(b, "Connection", "close")
+		options = append(options, "close")
+	}
+	if len(options) > 0 {
+		b = appendField(b, "Connection", strings.Join(options, ", "))
 	}
 	return append(b, "\r\n"...)
 }
 
-// isFraming reports whether AppendTo writes its own field instead of those with this name, or none.
-func isFraming(name string) bool {
+// replaced reports whether AppendTo writes its own field, or none, instead of those with this name.
+func replaced(name string) bool {
 	return strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding") ||
 		strings.EqualFold(name, "Connection") || strings.EqualFold(name, "Trailer")
 }
--- a/basillift/blhttp/head.go
+++ b/basillift/blhttp/head.go
@@ -117,8 +117,8 @@
 	begun bool
 }
 
-// next returns a line without its end, which is valid until the next read. A line feed alone ends no line: one in the name of a field
-// could end the head, and the rest of the head would be read as the body.
+// next returns a line without its end, which is valid until the next read. A line feed alone ends no line: one in the name of a
+// field could end the head, and the rest of the head would be read as the body.
 func (l *lineReader) next() ([]byte, error) {
 	line, err := l.reader.ReadSlice('\n')
 	if err != nil {
--- a/basillift/blpool/conn.go
+++ b/basillift/blpool/conn.go
@@ -127,10 +127,10 @@
 	return n, nil
 }
 
-// BrokeOff reports whether the error of a write to a connection means that it broke before the peer had ended its own bytes. The kernel
-// reports such an error only once; a later read returns io.EOF, as it does behind the last byte of a peer that has closed its side.
-// A reset after that is EPIPE.
-func BrokeOff(err error) bool {
+// ConnectionBroken reports whether the error of a write means that the connection broke before the peer had closed its side. The
+// kernel reports such an error only once: a later read returns io.EOF, as it does behind the last byte of a peer that has closed its
+// side. A reset after that is EPIPE.
+func ConnectionBroken(err error) bool {
 	var failed *net.OpError
 	return errors.As(err, &failed) && failed.Op == "write" && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -182,7 +182,7 @@
 		return nil
 	}
 	size := head.Length()
-	if size == blhttp.LengthUntilClose && e.sender != nil && blpool.BrokeOff(e.sender.err) {
+	if size == blhttp.LengthUntilClose && e.sender != nil && blpool.ConnectionBroken(e.sender.err) {
 		failed := &failure{basillift.OutcomeUnknown, basillift.ReasonTruncated, fmt.Errorf("%w: %w", blhttp.ErrTruncated, e.sender.err)}
 		e.release(false)
 		return failed
--- a/basillift/blproxy/uploads_test.go
+++ b/basillift/blproxy/uploads_test.go
@@ -145,9 +145,6 @@
 	assertAnswer(t, readResponse(t, r), 413, "big")
 }
 
-// earlyAnswers is how often a test repeats an upload whose fate depends on which goroutine sees a reset first.
-const earlyAnswers = 4
-
 // TestEarlyAnswerWithoutLength guards against a part of a response that is forwarded as complete: a reset is reported to the
 // goroutine that still writes the request, and the read then sees the end of a body without a length.
 func TestEarlyAnswerWithoutLength(t *testing.T) {
@@ -168,7 +165,8 @@
 				waitClosed(r)
 			})
 			caller, _ := startPair(t, target, withLongTimeouts)
-			for range earlyAnswers {
+			// Which goroutine sees the reset first differs.
+			for range 4 {
 				c, r := dialCaller(t, caller, fmt.Sprintf("POST /catalogue/map%sContent-Length: %d\r\n\r\n", requestHead, 4<<20))
 				go func() { _, _ = io.Copy(c, io.LimitReader(zeros{}, 4<<20)) }()
 				time.Sleep(5 * time.Millisecond)
--- a/basilliftd/answers_test.go
+++ b/basilliftd/answers_test.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -22,29 +21,21 @@
 	"basillift.dev/platform"
 )
 
-// startRaw serves the same bytes to each request, and then closes the connection.
+// startRaw serves the same bytes to each request, and then ends the connection.
 func startRaw(t *testing.T, text string, reset bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, text)
-			}
-			if reset {
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = conn.Close()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// An unread body would make the close a reset.
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, text)
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
-	}()
-	return l.Addr().String()
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
 }
 
 // readerStandIn is what the readers of answers need besides.
@@ -62,9 +53,7 @@
 // address serves for a sound answer.
 func answerReaders(t *testing.T) map[string]func(address string) bool {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	t.Cleanup(cancel)
-	ended, end := context.WithCancel(ctx)
+	ended, end := context.WithCancel(t.Context())
 	end()
 	log, err := bllog.New(io.Discard, "info", "vm1")
 	is.New(t).NoErr(err)
@@ -90,22 +79,20 @@
 		"operators' command": func(address string) bool { return bladmin.NewClient(address).Drain() == nil },
 		"receiver of notices": func(address string) bool {
 			s := blnotice.NewService(&readerStandIn{}, nil, &readerStandIn{}, log, nil, "http://"+address)
-			params, err := json.Marshal(blnotice.Observed{Kind: string(blnotice.KindPlatform)})
-			is.New(t).NoErr(err)
-			answer, err := s.Handle(time.Now(), params)
+			answer, err := s.Handle(time.Now(), []byte(`{"kind":"`+string(blnotice.KindPlatform)+`"}`))
 			return err == nil && answer.Sent
 		},
 		"platform": func(address string) bool {
 			c, err := blplatform.NewClient("http://" + address)
 			is.New(t).NoErr(err)
 			defer c.Close()
-			_, err = c.Read(ctx, "plans")
+			_, err = c.Read(t.Context(), "plans")
 			return err == nil
 		},
 		"registry": func(address string) bool {
 			s, err := platform.NewStore("http://"+address, "127.0.0.1:1")
 			is.New(t).NoErr(err)
-			_, err = s.List(ctx, "")
+			_, err = s.List(t.Context(), "")
 			return err == nil
 		},
 	}
