--- a/basilliftd/path_test.go
+++ b/basilliftd/path_test.go
@@ -91,13 +91,21 @@
 	runs     sync.Map
 }
 
+// usedAddresses are those that freeAddress has returned. The kernel may choose a closed port once more, also for the same daemon.
+var usedAddresses sync.Map
+
 // freeAddress returns an unused loopback address, so that the test needs no fixed ports.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		address := l.Addr().String()
+		_ = l.Close()
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
+	}
 }
 
 func startMesh(t *testing.T) *testMesh {
