--- a/basillift/blproxy/failures_test.go
+++ b/basillift/blproxy/failures_test.go
@@ -45,6 +45,7 @@
 		{"folded value", "POST", strings.Replace(okAnswer, "\r\n", "\r\nX-Bad: 1\r\n 2\r\n", 1), 502, basillift.ReasonTarget},
 		{"chunks in HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 502, basillift.ReasonTarget},
 		{"blank behind a chunk size", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n2 \r\nok\r\n0\r\n\r\n", 0, ""},
+		{"control byte in a trailer", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Bad: \x01\r\n\r\n", 0, ""},
 		{"protocol switch", "POST", "HTTP/1.1 101 Switching Protocols\r\n\r\n", 502, basillift.ReasonTarget},
 		{"truncated long body", "POST", long, 0, ""},
 		{"chunked body truncated after a chunk", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", 0, ""},
