blproxy: an early refusal without a length reaches the caller whole

What callers saw: a target refused an upload while it was arriving, with a 413 without a length. The caller got the head and then a reset connection.

Cause: the proxy stops sending such an upload by ending the read from the caller. The sender takes that for a caller that broke off, and closes the connection to the target, on which the body is still to be read.

Change: a sender that was stopped leaves the connection open. It is closed behind the response, so the target still sees that the request is not whole.

--- a/basillift/blproxy/body.go
+++ b/basillift/blproxy/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/bytebufferpool"
@@ -146,15 +147,18 @@
 	body    *body
 	err     error
 	done    chan struct{}
+	// stopped is set once the rest of the body is not needed.
+	stopped atomic.Bool
 }
 
 // run writes the request. It closes the connection when reading the caller's body fails, so that
 // the receiver never treats a partial body as complete and the goroutine that waits for the
-// response returns.
+// response returns. A sender that was stopped leaves the connection open for the response, of which
+// the head has arrived; it is closed behind that.
 func (s *sender) run() {
 	defer close(s.done)
 	s.err = writeRequest(s.request, s.conn)
-	if s.body.readErr != nil {
+	if s.body.readErr != nil && !s.stopped.Load() {
 		_ = s.conn.Close()
 	}
 }
--- a/basillift/blproxy/exchange.go
+++ b/basillift/blproxy/exchange.go
@@ -168,6 +168,7 @@
 		return
 	default:
 	}
+	e.sender.stopped.Store(true)
 	_ = e.ctx.SetReadDeadline(time.Unix(1, 0))
 	_ = e.conn.SetWriteDeadline(time.Unix(1, 0))
 	<-e.sender.done
--- a/basillift/blproxy/uploads_test.go
+++ b/basillift/blproxy/uploads_test.go
@@ -146,18 +146,22 @@
 }
 
 // TestEarlyAnswerWithoutLength guards against a part of a response that is forwarded as complete: a reset is reported to the
-// goroutine that still writes the request, and the read then sees the end of a body without a length.
+// goroutine that still writes the request, and the read then sees the end of a body without a length. It also guards against a
+// whole response that is cut because the rest of the upload is not needed.
 func TestEarlyAnswerWithoutLength(t *testing.T) {
-	for name, reset := range map[string]bool{"reset": true, "closed": false} {
+	for name, tc := range map[string]struct {
+		status int
+		reset  bool
+	}{"reset": {200, true}, "closed": {200, false}, "closed after a refusal": {413, false}} {
 		t.Run(name, func(t *testing.T) {
 			answered := make(chan struct{})
 			target := startRaw(t, func(conn net.Conn, r *bufio.Reader) {
 				if _, err := r.ReadString('\n'); err != nil {
 					return
 				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d \r\n\r\npart", tc.status)
 				<-answered
-				if reset {
+				if tc.reset {
 					_ = conn.(*net.TCPConn).SetLinger(0)
 					return
 				}
@@ -174,12 +178,12 @@
 				response := &fasthttp.Response{}
 				err := response.Read(r)
 				_ = c.Close()
-				if reset && err == nil && response.StatusCode() == 200 {
+				if tc.reset && err == nil && response.StatusCode() == 200 {
 					t.Fatalf("a part of a response is complete: %q", response.Body())
 				}
-				if !reset {
+				if !tc.reset {
 					requireNoError(t, err)
-					assertAnswer(t, response, 200, "part")
+					assertAnswer(t, response, tc.status, "part")
 				}
 			}
 		})
