blforwarder, blproxy: heads are written, and invalid answers told, by blhttp

Cause: blhttp repeated the functions of blforwarder that append a status line and a header field, and both request paths repeated the test for an answer that is malformed or truncated.

Change: AppendStatusLine, AppendField and Invalid in blhttp serve all of them. What is written and what is logged stays as it is.

Result: no test changes; those of malformed, well-formed and logged answers pass on both paths.

--- a/basillift/blforwarder/admissionnote.go
+++ b/basillift/blforwarder/admissionnote.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 )
 
 // headerLate marks a request that may get a late place, and headerAdmission carries the admissionNote of an answer. Both are
@@ -48,7 +49,7 @@
 	if !rm.lateAllowed {
 		return b
 	}
-	return appendField(b, headerLate, formatFlag(true))
+	return blhttp.AppendField(b, headerLate, formatFlag(true))
 }
 
 // countAdmission counts a request with a note by its rank. Nested calls, whose rank is that of their parents, count apart.
--- a/basillift/blforwarder/answer.go
+++ b/basillift/blforwarder/answer.go
@@ -103,24 +103,21 @@
 
 // writeHeader ignores write errors: bufio.Writer returns them from the next write.
 func (a *answer) writeHeader(w *bufio.Writer, internal, last bool) {
-	b := w.AvailableBuffer()
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(a.status), 10)
-	b = append(append(append(b, ' '), http.StatusText(a.status)...), "\r\n"...)
+	b := blhttp.AppendStatusLine(w.AvailableBuffer(), a.status)
 	for _, f := range a.fields {
 		if !internalHeader(f.name) {
-			b = appendField(b, f.name, f.value)
+			b = blhttp.AppendField(b, f.name, f.value)
 		}
 	}
 	if a.retryAfter > 0 && a.status == http.StatusServiceUnavailable {
-		b = appendField(b, "Retry-After", formatSeconds(a.retryAfter))
+		b = blhttp.AppendField(b, "Retry-After", formatSeconds(a.retryAfter))
 	}
 	b = a.appendFraming(b)
 	if internal {
 		b = a.appendInternal(b)
 	}
 	if last || a.close {
-		b = appendField(b, "Connection", "close")
+		b = blhttp.AppendField(b, "Connection", "close")
 	}
 	b = append(b, "\r\n"...)
 	if a.stream != nil && a.length < 0 {
@@ -133,39 +130,34 @@
 func (a *answer) appendFraming(b []byte) []byte {
 	switch {
 	case a.stream != nil && a.length < 0:
-		return appendField(b, "Transfer-Encoding", "chunked")
+		return blhttp.AppendField(b, "Transfer-Encoding", "chunked")
 	case a.bodyless && a.length < 0:
 		return b
 	case a.bodyless || a.stream != nil:
-		return appendField(b, "Content-Length", strconv.Itoa(a.length))
+		return blhttp.AppendField(b, "Content-Length", strconv.Itoa(a.length))
 	default:
-		return appendField(b, "Content-Length", strconv.Itoa(len(a.body)))
+		return blhttp.AppendField(b, "Content-Length", strconv.Itoa(len(a.body)))
 	}
 }
 
 func (a *answer) appendInternal(b []byte) []byte {
 	if a.feedHeader != "" {
-		return appendField(b, headerFeed, a.feedHeader)
+		return blhttp.AppendField(b, headerFeed, a.feedHeader)
 	}
-	b = appendField(b, headerHop, a.formatOutcome())
+	b = blhttp.AppendField(b, headerHop, a.formatOutcome())
 	if a.admission != "" {
-		b = appendField(b, headerAdmission, string(a.admission))
+		b = blhttp.AppendField(b, headerAdmission, string(a.admission))
 	}
 	if a.load != nil {
-		b = appendField(b, headerLoad, formatLoad(*a.load))
+		b = blhttp.AppendField(b, headerLoad, formatLoad(*a.load))
 		b = appendColdLimit(b, *a.load)
 	}
 	if a.suspicion != nil {
-		b = appendField(b, headerSuspicion, formatSuspicion(time.Now(), *a.suspicion))
+		b = blhttp.AppendField(b, headerSuspicion, formatSuspicion(time.Now(), *a.suspicion))
 	}
 	return b
 }
 
-func appendField(b []byte, name, value string) []byte {
-	b = append(append(append(b, name...), ": "...), value...)
-	return append(b, "\r\n"...)
-}
-
 // writeStream forwards the rest of a large body as it arrives.
 func (a *answer) writeStream(w *bufio.Writer) error {
 	chunked := a.length < 0
--- a/basillift/blforwarder/answerdeadlines.go
+++ b/basillift/blforwarder/answerdeadlines.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 )
 
 const (
@@ -160,7 +161,7 @@
 	if rm.answerBy.IsZero() {
 		return b
 	}
-	return appendField(b, headerAnswerBy, formatMicroseconds(rm.answerBy.Sub(now)))
+	return blhttp.AppendField(b, headerAnswerBy, formatMicroseconds(rm.answerBy.Sub(now)))
 }
 
 // parseAnswerBy parses the value of headerAnswerBy or headerDeadlines. It returns false if the value is missing or invalid.
--- a/basillift/blforwarder/callerheader.go
+++ b/basillift/blforwarder/callerheader.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"basillift.dev/basillift/blhttp"
 )
 
 // localRequest returns a copy of the request as targetSide expects it.
@@ -30,15 +32,15 @@
 	names := c.forwarder.settings.headerNames
 	b := appendRequestLine(nil, rr.request)
 	b = appendFields(b, rr.request, names, names.Caller(), names.Instance())
-	b = appendField(b, names.Caller(), c.forwarder.settings.service)
+	b = blhttp.AppendField(b, names.Caller(), c.forwarder.settings.service)
 	metadata := rr.metadata
 	metadata.newestRevision = c.forwarder.gossip.NewestRevision()
 	// The target's daemon gives up earlier by the transfer time, so that its own answer arrives before the deadline.
 	metadata.deadline = metadata.deadline.Add(-answerMargin)
-	b = appendField(b, headerHop, metadata.format(now))
+	b = blhttp.AppendField(b, headerHop, metadata.format(now))
 	b = metadata.appendLate(metadata.appendAnswerBy(b, now))
 	if s, known := c.forwarder.quarantine.suspicion(now, rr.fingerprint); known {
-		b = appendField(b, headerSuspicion, formatSuspicion(now, s))
+		b = blhttp.AppendField(b, headerSuspicion, formatSuspicion(now, s))
 	}
 	return append(b, "\r\n"...)
 }
--- a/basillift/blforwarder/exchange.go
+++ b/basillift/blforwarder/exchange.go
@@ -241,7 +241,7 @@
 
 // logInvalid logs an answer that is malformed or ended early.
 func (e *exchange) logInvalid(err error) {
-	if e.log != nil && (errors.Is(err, blhttp.ErrMalformed) || errors.Is(err, blhttp.ErrTruncated)) {
+	if e.log != nil && blhttp.Invalid(err) {
 		e.log.logInvalidAnswer(time.Now(), e.request.header(e.idHeader), e.conn.RemoteAddr().String(), err)
 	}
 }
--- a/basillift/blforwarder/headers.go
+++ b/basillift/blforwarder/headers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 )
 
 // The headers between two daemons. Header fields of callers with this prefix are dropped.
@@ -170,7 +171,7 @@
 	if !limited {
 		return b
 	}
-	return appendField(b, headerCold, strconv.FormatFloat(perSecond, 'g', -1, 64)+" "+formatMicroseconds(remaining))
+	return blhttp.AppendField(b, headerCold, strconv.FormatFloat(perSecond, 'g', -1, 64)+" "+formatMicroseconds(remaining))
 }
 
 // parseColdLimit is the inverse of appendColdLimit. It returns a load without a cold limit if the text is not a valid one.
--- a/basillift/blforwarder/healthcheck.go
+++ b/basillift/blforwarder/healthcheck.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/blwarmup"
 )
 
@@ -59,8 +60,8 @@
 	names, address := h.target.forwarder.settings.headerNames, h.target.forwarder.settings.targetAddress
 	b := append([]byte("GET "), h.path...)
 	b = append(b, " HTTP/1.1\r\n"...)
-	b = appendField(b, "Host", address)
-	b = appendField(b, names.Deadline(), strconv.FormatInt(healthTimeout.Milliseconds(), 10))
+	b = blhttp.AppendField(b, "Host", address)
+	b = blhttp.AppendField(b, names.Deadline(), strconv.FormatInt(healthTimeout.Milliseconds(), 10))
 	return append(b, "\r\n"...)
 }
 
--- a/basillift/blforwarder/target.go
+++ b/basillift/blforwarder/target.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basillift.dev/basillift"
+	"basillift.dev/basillift/blhttp"
 	"basillift.dev/basillift/bllog"
 )
 
@@ -283,9 +284,9 @@
 	b := appendRequestLine(nil, r)
 	b = appendFields(b, r, names, names.Deadline(), names.Instance())
 	timeoutMillis := max(1, meta.deadline.Sub(now).Milliseconds())
-	b = appendField(b, names.Deadline(), strconv.FormatInt(timeoutMillis, 10))
+	b = blhttp.AppendField(b, names.Deadline(), strconv.FormatInt(timeoutMillis, 10))
 	if meta.instance != "" {
-		b = appendField(b, names.Instance(), meta.instance)
+		b = blhttp.AppendField(b, names.Instance(), meta.instance)
 	}
 	return append(b, "\r\n"...)
 }
@@ -364,16 +365,16 @@
 	for _, f := range r.fields {
 		ofConnection := connectionHeader(f.name) || hasConnectionOption(options, f.name) && !containsName(required, f.name)
 		if !ofConnection && !internalHeader(f.name) && !containsName(excluded, f.name) {
-			b = appendField(b, f.name, f.value)
+			b = blhttp.AppendField(b, f.name, f.value)
 		}
 	}
 	switch {
 	case r.stream != nil && r.size < 0:
-		b = appendField(b, "Transfer-Encoding", "chunked")
+		b = blhttp.AppendField(b, "Transfer-Encoding", "chunked")
 	case r.stream != nil:
-		b = appendField(b, "Content-Length", strconv.Itoa(r.size))
+		b = blhttp.AppendField(b, "Content-Length", strconv.Itoa(r.size))
 	case len(r.body) > 0 || r.size != 0 || r.method == http.MethodPost || r.method == http.MethodPut:
-		b = appendField(b, "Content-Length", strconv.Itoa(len(r.body)))
+		b = blhttp.AppendField(b, "Content-Length", strconv.Itoa(len(r.body)))
 	}
 	return b
 }
--- a/basillift/blforwarder/transferqueue.go
+++ b/basillift/blforwarder/transferqueue.go
@@ -8,6 +8,7 @@
 
 	"basillift.dev/basillift"
 	"basillift.dev/basillift/bladmit"
+	"basillift.dev/basillift/blhttp"
 )
 
 const (
@@ -126,10 +127,10 @@
 	metadata.newestRevision = c.forwarder.gossip.NewestRevision()
 	b := append([]byte("GET / HTTP/1.1\r\nHost: "), daemon...)
 	b = append(b, "\r\n"...)
-	b = appendField(b, names.RequestID(), rr.request.header(names.RequestID()))
-	b = appendField(b, names.Caller(), c.forwarder.settings.service)
-	b = appendField(b, headerPermit, "1")
-	b = appendField(b, headerHop, metadata.format(now))
+	b = blhttp.AppendField(b, names.RequestID(), rr.request.header(names.RequestID()))
+	b = blhttp.AppendField(b, names.Caller(), c.forwarder.settings.service)
+	b = blhttp.AppendField(b, headerPermit, "1")
+	b = blhttp.AppendField(b, headerHop, metadata.format(now))
 	b = metadata.appendLate(metadata.appendAnswerBy(b, now))
 	return append(b, "\r\n"...)
 }
--- a/basillift/blhttp/doc.go
+++ b/basillift/blhttp/doc.go
@@ -1,5 +1,5 @@
 // Package blhttp reads HTTP/1.1 responses and accepts only what RFC 9112 and RFC 9110 allow. What it refuses says nothing about the
-// request, which may have run.
+// request, which may have run. The lines of heads that daemons write are formatted here too.
 //
 // Where a recipient has a choice, the package repairs nothing that a peer could read in another way: lines that end with a line feed
 // alone, folded values, blanks around the name of a field, codings other than chunked and a Content-Length beside a
--- a/basillift/blhttp/format.go
+++ b/basillift/blhttp/format.go
@@ -9,26 +9,24 @@
 // AppendTo appends the head in canonical form: one field tells where the body ends, one has the connection options, and none announces
 // trailers, since Body drops them.
 func (h *Head) AppendTo(b []byte) []byte {
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(h.status), 10)
-	b = append(append(append(b, ' '), http.StatusText(h.status)...), "\r\n"...)
+	b = AppendStatusLine(b, h.status)
 	for name, value := range h.Fields() {
 		if !replaced(name) {
-			b = appendField(b, name, value)
+			b = AppendField(b, name, value)
 		}
 	}
 	switch {
 	case h.chunked && !h.bodyless:
-		b = appendField(b, "Transfer-Encoding", "chunked")
+		b = AppendField(b, "Transfer-Encoding", "chunked")
 	case h.length >= 0:
-		b = appendField(b, "Content-Length", strconv.Itoa(h.length))
+		b = AppendField(b, "Content-Length", strconv.Itoa(h.length))
 	}
 	options := listElements(h.options)
 	if !h.persistent {
 		options = append(options, "close")
 	}
 	if len(options) > 0 {
-		b = appendField(b, "Connection", strings.Join(options, ", "))
+		b = AppendField(b, "Connection", strings.Join(options, ", "))
 	}
 	return append(b, "\r\n"...)
 }
@@ -39,7 +37,14 @@
 		strings.EqualFold(name, "Connection") || strings.EqualFold(name, "Trailer")
 }
 
-func appendField(b []byte, name, value string) []byte {
+// AppendStatusLine appends the first line of a response.
+func AppendStatusLine(b []byte, status int) []byte {
+	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
+	return append(append(append(b, ' '), http.StatusText(status)...), "\r\n"...)
+}
+
+// AppendField appends a header field.
+func AppendField(b []byte, name, value string) []byte {
 	b = append(append(append(b, name...), ": "...), value...)
 	return append(b, "\r\n"...)
 }
--- a/basillift/blhttp/head.go
+++ b/basillift/blhttp/head.go
@@ -238,6 +238,9 @@
 	return len(text) > 0
 }
 
+// Invalid reports whether an error means that a response is malformed or truncated.
+func Invalid(err error) bool { return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTruncated) }
+
 func malformed(format string, arguments ...any) error {
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, arguments...))
 }
--- a/basillift/blproxy/finish.go
+++ b/basillift/blproxy/finish.go
@@ -1,7 +1,6 @@
 package blproxy
 
 import (
-	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -114,7 +113,7 @@
 
 // recordInvalidAnswer records an answer that is malformed or ended early.
 func (p *Proxy) recordInvalidAnswer(k *call, err error) {
-	if p.records(RecordRefused) && (errors.Is(err, blhttp.ErrMalformed) || errors.Is(err, blhttp.ErrTruncated)) {
+	if p.records(RecordRefused) && blhttp.Invalid(err) {
 		p.recorder.Record(k.event(time.Now(), basillift.EventAnswerInvalid).WithDetail(err.Error()))
 	}
 }
