blhttp: one mapping of connection errors, and less state

Cause: two functions translated the error of a read in two ways, three checks of digits stood beside strconv, and a checked connection copied two properties of the head that it had just read.

Change: truncation serves heads, trailers and bodies. ParseUint refuses signs and prefixes itself. A checked connection keeps its head. The type of a header field is no longer exported, since only its name and value leave the package.

--- a/basillift/blhttp/body.go
+++ b/basillift/blhttp/body.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"syscall"
 )
 
 // Body returns a reader for the body behind the head. Its Read returns io.EOF at the end of the body. A body that ends with its
@@ -26,17 +25,7 @@
 }
 
 // BodyError returns the error of a read that has not reached the end of a body. It wraps ErrTruncated if the connection ended.
-func BodyError(err error) error {
-	switch {
-	case errors.Is(err, ErrTruncated):
-		return err
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return truncated("body", io.ErrUnexpectedEOF)
-	case errors.Is(err, syscall.ECONNRESET):
-		return truncated("body", err)
-	}
-	return err
-}
+func BodyError(err error) error { return truncation("body", err) }
 
 // closeReader reads a body that ends with its connection.
 type closeReader struct{ reader *bufio.Reader }
@@ -138,18 +127,9 @@
 		// Blanks may precede an extension, but not the end of the line.
 		size = bytes.TrimRight(size, " \t")
 	}
-	for _, c := range size {
-		if !isHexDigit(c) {
-			return 0, malformed("size of chunk %.40q", line)
-		}
-	}
-	n, err := strconv.ParseInt(string(size), 16, 64)
+	n, err := strconv.ParseUint(string(size), 16, 63)
 	if err != nil || !isText(extensions) {
 		return 0, malformed("size of chunk %.40q", line)
 	}
-	return n, nil
-}
-
-func isHexDigit(c byte) bool {
-	return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
+	return int64(n), nil
 }
--- a/basillift/blhttp/conn.go
+++ b/basillift/blhttp/conn.go
@@ -19,11 +19,9 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// body is the rest of the current response; nil between two responses.
-	body    io.Reader
-	chunked bool
-	// untilClose is set if the body ends with the connection.
-	untilClose bool
+	// head is that of the current response, and body its rest; nil between two responses.
+	head *Head
+	body io.Reader
 	// pending are checked bytes that were not read yet.
 	pending []byte
 	err     error
@@ -52,7 +50,7 @@
 			c.err = c.readHead()
 			continue
 		}
-		if !c.chunked {
+		if !c.head.chunked {
 			n, err := c.body.Read(p)
 			c.endBody(err)
 			if n > 0 {
@@ -81,7 +79,7 @@
 	}
 	c.pending = h.AppendTo(c.pending[:0])
 	if h.length != 0 && !h.bodyless {
-		c.body, c.chunked, c.untilClose = h.Body(c.reader), h.chunked, h.length == LengthUntilClose
+		c.head, c.body = h, h.Body(c.reader)
 	}
 	return nil
 }
@@ -104,7 +102,7 @@
 	if err == nil {
 		return
 	}
-	if !errors.Is(err, io.EOF) || c.untilClose {
+	if !errors.Is(err, io.EOF) || c.head.length == LengthUntilClose {
 		c.err = err
 	}
 	c.body = nil
--- a/basillift/blhttp/framing.go
+++ b/basillift/blhttp/framing.go
@@ -54,8 +54,8 @@
 func (h *Head) addLength(value string) error {
 	for element := range strings.SplitSeq(value, ",") {
 		element = strings.Trim(element, " \t")
-		n, err := strconv.ParseInt(element, 10, strconv.IntSize)
-		if err != nil || !isDigits(element) {
+		n, err := strconv.ParseUint(element, 10, strconv.IntSize-1)
+		if err != nil {
 			return malformed("length %.40q", value)
 		}
 		if h.length >= 0 && h.length != int(n) {
--- a/basillift/blhttp/head.go
+++ b/basillift/blhttp/head.go
@@ -8,6 +8,7 @@
 	"io"
 	"iter"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -32,14 +33,14 @@
 	LengthUntilClose = -2
 )
 
-// Field is a header field as received, without the blanks around its value.
-type Field struct{ name, value string }
+// field is a header field as received, without the blanks around its value.
+type field struct{ name, value string }
 
 // Head is the head of a final response.
 type Head struct {
 	status     int
 	minor      byte
-	fields     []Field
+	fields     []field
 	length     int
 	chunked    bool
 	bodyless   bool
@@ -140,17 +141,14 @@
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
 		return malformed("line of the %s of more than %d bytes", l.part, len(line))
-	case !l.begun && len(line) == 0:
-	case errors.Is(err, io.EOF):
-		return truncated(l.part, io.ErrUnexpectedEOF)
-	case errors.Is(err, syscall.ECONNRESET):
-		return truncated(l.part, err)
+	case l.begun || len(line) > 0:
+		return truncation(l.part, err)
 	}
 	return fmt.Errorf("read response: %w", err)
 }
 
 // fields reads header fields up to an empty line. All names and values share one string.
-func (l *lineReader) fields() ([]Field, error) {
+func (l *lineReader) fields() ([]field, error) {
 	text, sizes := make([]byte, 0, 512), make([][2]int, 0, 16)
 	for {
 		line, err := l.next()
@@ -167,10 +165,10 @@
 		text = append(append(text, name...), value...)
 		sizes = append(sizes, [2]int{len(name), len(value)})
 	}
-	rest, fields := string(text), make([]Field, len(sizes))
+	rest, fields := string(text), make([]field, len(sizes))
 	for i, size := range sizes {
 		end := size[0] + size[1]
-		fields[i], rest = Field{rest[:size[0]], rest[size[0]:end]}, rest[end:]
+		fields[i], rest = field{rest[:size[0]], rest[size[0]:end]}, rest[end:]
 	}
 	return fields, nil
 }
@@ -193,17 +191,16 @@
 // section 15).
 func parseStatusLine(line []byte) (status int, minor byte, err error) {
 	const status200 = "HTTP/1.1 200"
-	if len(line) < len(status200) || string(line[:7]) != "HTTP/1." || !isDigits(line[7:8]) || line[8] != ' ' || !isDigits(line[9:12]) {
+	if len(line) < len(status200) || string(line[:7]) != "HTTP/1." || line[7] < '0' || line[7] > '9' || line[8] != ' ' {
 		return 0, 0, malformed("status line %.40q", line)
 	}
-	for _, digit := range line[9:12] {
-		status = 10*status + int(digit-'0')
-	}
+	// ParseUint refuses signs.
+	code, err := strconv.ParseUint(string(line[9:12]), 10, 16)
 	phrase := line[len(status200):]
-	if status < http.StatusContinue || status > 599 || len(phrase) > 0 && phrase[0] != ' ' || !isText(phrase) {
+	if err != nil || code < http.StatusContinue || code > 599 || len(phrase) > 0 && phrase[0] != ' ' || !isText(phrase) {
 		return 0, 0, malformed("status line %.40q", line)
 	}
-	return status, line[7], nil
+	return int(code), line[7], nil
 }
 
 // isToken reports whether a text may be the name of a field (RFC 9110, section 5.6.2).
@@ -229,15 +226,6 @@
 	return true
 }
 
-func isDigits[T string | []byte](text T) bool {
-	for _, c := range []byte(text) {
-		if c < '0' || c > '9' {
-			return false
-		}
-	}
-	return len(text) > 0
-}
-
 // Invalid reports whether an error means that a response is malformed or truncated.
 func Invalid(err error) bool { return errors.Is(err, ErrMalformed) || errors.Is(err, ErrTruncated) }
 
@@ -245,6 +233,15 @@
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, arguments...))
 }
 
-func truncated(part string, err error) error {
+// truncation returns the error of a read within a part of a response. It wraps ErrTruncated if the connection ended.
+func truncation(part string, err error) error {
+	switch {
+	case errors.Is(err, ErrTruncated):
+		return err
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	case !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET):
+		return err
+	}
 	return fmt.Errorf("%w: the connection ended within the %s: %w", ErrTruncated, part, err)
 }
